--- /dev/null
+++ b/amaranthctl/files.go
@@ -0,0 +1,128 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+
+	"github.com/amaranthswitch/amaranthswitch/fleet/config"
+)
+
+// errInvalid ends a check whose problems were printed.
+var errInvalid = errors.New("the file is not acceptable, the running configuration stays")
+
+func checkCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "check",
+		Usage:     "validate a whole configuration file",
+		ArgsUsage: "FILE",
+		Flags:     []cli.Flag{&cli.BoolFlag{Name: "json", Usage: "print problems as JSON"}},
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			if cmd.Args().Len() != 1 {
+				return errors.New("check takes one file")
+			}
+			return check(cmd.Root().Writer, cmd.Args().First(), cmd.Bool("json"))
+		},
+	}
+}
+
+// check prints the problems of the file at path, or what it holds.
+func check(w io.Writer, path string, asJSON bool) (err error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return eris.Wrap(err, "check")
+	}
+	f, err := config.Parse(data)
+	var problems config.Problems
+	if err != nil && !errors.As(err, &problems) {
+		return eris.Wrapf(err, "check %s", path)
+	}
+	if asJSON {
+		return printProblems(w, problems)
+	}
+	for _, p := range problems {
+		fmt.Fprintf(w, "%s: %s: %s\n", path, p.Path, p.Reason)
+	}
+	if len(problems) > 0 {
+		return errInvalid
+	}
+	upstreams := 0
+	for _, s := range f.Services {
+		upstreams += len(s.Upstreams)
+	}
+	fmt.Fprintf(w, "%s: version %d is valid: %d failure domains, %d services, %d upstreams\n", path, f.Version, len(f.Domains), len(f.Services), upstreams)
+	return nil
+}
+
+func printProblems(w io.Writer, problems config.Problems) error {
+	if problems == nil {
+		problems = config.Problems{}
+	}
+	if err := json.NewEncoder(w).Encode(problems); err != nil {
+		return err
+	}
+	if len(problems) > 0 {
+		return errInvalid
+	}
+	return nil
+}
+
+func diffCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "diff",
+		Usage:     "show what a new configuration file would change",
+		ArgsUsage: "OLD NEW",
+		Flags:     []cli.Flag{&cli.BoolFlag{Name: "json", Usage: "print changes as JSON"}},
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			if cmd.Args().Len() != 2 {
+				return errors.New("diff takes an old and a new file")
+			}
+			return diff(cmd.Root().Writer, cmd.Args().Get(0), cmd.Args().Get(1), cmd.Bool("json"))
+		},
+	}
+}
+
+// diff prints the changes from the file at before to the one at after.
+func diff(w io.Writer, before, after string, asJSON bool) (err error) {
+	a, err := load(before)
+	if err != nil {
+		return err
+	}
+	b, err := load(after)
+	if err != nil {
+		return err
+	}
+	changes := config.Diff(a, b)
+	if asJSON {
+		if changes == nil {
+			changes = []config.Change{}
+		}
+		return json.NewEncoder(w).Encode(changes)
+	}
+	for _, c := range changes {
+		fmt.Fprintf(w, "%-7s %s", c.Action, c.Object)
+		if c.Detail != "" {
+			fmt.Fprintf(w, " (%s)", c.Detail)
+		}
+		fmt.Fprintln(w)
+	}
+	if b.Version <= a.Version {
+		fmt.Fprintf(w, "warning: version %d does not follow version %d, no VM would take the new file\n", b.Version, a.Version)
+	}
+	return nil
+}
+
+func load(path string) (f *config.File, err error) {
+	defer func() { err = eris.Wrapf(err, "load %s", path) }()
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return config.Parse(data)
+}
--- /dev/null
+++ b/amaranthd/daemon/daemon.go
@@ -0,0 +1,236 @@
+package daemon
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"sync/atomic"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/dig"
+
+	"github.com/amaranthswitch/amaranthswitch/amaranthd/fabric"
+	"github.com/amaranthswitch/amaranthswitch/amaranthd/platform"
+	"github.com/amaranthswitch/amaranthswitch/amaranthd/settings"
+	"github.com/amaranthswitch/amaranthswitch/amaranthd/vm"
+	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
+	"github.com/amaranthswitch/amaranthswitch/fleet/config"
+	"github.com/amaranthswitch/amaranthswitch/fleet/event"
+	"github.com/amaranthswitch/amaranthswitch/fleet/steering"
+	"github.com/amaranthswitch/amaranthswitch/fleet/wire"
+)
+
+// Daemon is the daemon of one VM.
+type Daemon struct {
+	control  *Control
+	engine   *steering.Engine
+	path     *fabric.Path
+	socket   *vm.Socket
+	server   *vm.Server
+	pool     *vm.Pool
+	platform *platform.Client
+
+	platformDown atomic.Bool
+}
+
+// cleanups collects the clean-up functions of the parts, run last to first.
+type cleanups struct {
+	list []func()
+}
+
+func (c *cleanups) add(f func()) { c.list = append(c.list, f) }
+
+func (c *cleanups) run() {
+	for i := len(c.list) - 1; i >= 0; i-- {
+		c.list[i]()
+	}
+	c.list = nil
+}
+
+// Option configures a Daemon.
+type Option func(*options)
+
+type options struct {
+	clk clock.Clock
+}
+
+// WithClock replaces the system's clock.
+func WithClock(clk clock.Clock) Option { return func(o *options) { o.clk = clk } }
+
+// New builds the daemon and opens its addresses. Nothing runs before Run; the
+// cleanup closes what was opened.
+func New(ctx context.Context, set settings.Settings, log *slog.Logger, opts ...Option) (d *Daemon, cleanup func(), err error) {
+	defer func() { err = eris.Wrapf(err, "daemon: build %s", set.VM) }()
+	o := options{clk: clock.System()}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	clean := &cleanups{}
+	c := dig.New()
+	provide := func(constructor any) {
+		if err == nil {
+			err = c.Provide(constructor)
+		}
+	}
+	provide(func() context.Context { return ctx })
+	provide(func() *settings.Settings { return &set })
+	provide(func() clock.Clock { return o.clk })
+	provide(func() *slog.Logger { return log.With(slog.String("vm", string(set.VM))) })
+	provide(func() *cleanups { return clean })
+	provide(provideEngine)
+	provide(provideSocket)
+	provide(providePool)
+	provide(provideServer)
+	provide(providePlatform)
+	provide(newControl)
+	provide(providePath)
+	provide(newDaemon)
+	if err == nil {
+		err = c.Invoke(func(built *Daemon) { d = built })
+	}
+	if err != nil {
+		clean.run()
+		return nil, nil, err
+	}
+	return d, clean.run, nil
+}
+
+func provideEngine(set *settings.Settings, clk clock.Clock) *steering.Engine {
+	opts := []steering.Option{steering.WithLimits(set.Steering), steering.WithSeed(set.Seed)}
+	switch set.Baseline {
+	case "tableOnly":
+		opts = append(opts, steering.WithPlacement(steering.TableOnly), steering.WithoutHomes())
+	case "random":
+		opts = append(opts, steering.WithPlacement(steering.Random), steering.WithoutHomes())
+	}
+	return steering.New(clk.Now(), set.VM, opts...)
+}
+
+func provideSocket(ctx context.Context, set *settings.Settings, clean *cleanups) (*vm.Socket, error) {
+	s, cleanup, err := vm.NewSocket(ctx, set.VM, set.Peer, set.SocketBufferBytes)
+	if err == nil {
+		clean.add(cleanup)
+	}
+	return s, err
+}
+
+func providePool(set *settings.Settings, clean *cleanups) *vm.Pool {
+	p, cleanup := vm.NewPool(set.RPC.Addr(), set.Timers.CallMillis)
+	clean.add(cleanup)
+	return p
+}
+
+func provideServer(ctx context.Context, set *settings.Settings, clean *cleanups) (*vm.Server, error) {
+	s := vm.NewServer()
+	cleanup, err := s.Serve(ctx, set.RPC)
+	if err == nil {
+		clean.add(cleanup)
+	}
+	return s, err
+}
+
+func providePlatform(set *settings.Settings, clean *cleanups) *platform.Client {
+	c, cleanup := platform.New(set.Platform, set.Timers.WatchMillis, set.Timers.WatchRetryMillis)
+	clean.add(cleanup)
+	return c
+}
+
+func providePath(ctx context.Context, set *settings.Settings, engine *steering.Engine, control *Control, socket *vm.Socket, clk clock.Clock, clean *cleanups) (*fabric.Path, error) {
+	seams := fabric.Seams{
+		Now:        clk.Now,
+		Paused:     control.paused,
+		SendDetour: socket.SendDetour,
+		Learn:      engine.Queue,
+		Flush:      control.flushUrgent,
+	}
+	p, cleanup, err := fabric.New(ctx, engine, set.Tunnel, set.FabricReply, seams,
+		fabric.WithWorkers(set.Workers), fabric.WithSocketBuffers(set.SocketBufferBytes))
+	if err == nil {
+		clean.add(cleanup)
+		control.attach(p)
+	}
+	return p, err
+}
+
+func newDaemon(control *Control, engine *steering.Engine, path *fabric.Path, socket *vm.Socket, server *vm.Server, pool *vm.Pool, client *platform.Client) *Daemon {
+	d := &Daemon{
+		control: control, engine: engine, path: path,
+		socket: socket, server: server, pool: pool, platform: client,
+	}
+	server.Handle(vm.GetConfig, control.serveConfig)
+	server.Handle(vm.HandOver, control.serveHandOver)
+	server.Handle(vm.GetStatus, d.serveStatus)
+	return d
+}
+
+// Engine returns the daemon's steering decisions.
+func (d *Daemon) Engine() *steering.Engine { return d.engine }
+
+// Run serves until ctx ends, and then leaves: it hands over and goes on
+// forwarding for the leave time before it returns. The first error of a part
+// ends it at once.
+func (d *Daemon) Run(ctx context.Context) (err error) {
+	defer func() { err = eris.Wrap(err, "daemon: run") }()
+	c := d.control
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	injector := d.path.NewInjector()
+	d.socket.SetSeams(vm.SocketSeams{
+		Detour: func(h wire.DetourHeader, data []byte) {
+			injector.Inject(c.clk.Now(), data, h.From, h.Hops, h.Belief)
+			c.flushUrgent()
+		},
+		Datagram: func(kind wire.Kind, data []byte) { c.receive(work, kind, data) },
+		Invalid:  func() { d.path.Counters.Malformed.Add(1) },
+	})
+	d.pool.Silent = func(to netip.AddrPort) {
+		event.Log(work, c.log, event.ChannelSilent, slog.String("address", to.String()))
+	}
+	ended := make(chan error, d.parts())
+	workers, n := d.path.Run(work)
+	go forward(workers, n, ended)
+	go forward(d.socket.Run(work), 1, ended)
+	go func() { ended <- c.run(work) }()
+	go func() { ended <- d.watch(work, platform.ConfigKey, c.watches, c.published) }()
+	go func() { ended <- d.watch(work, platform.VMsKey, always, c.listPublished) }()
+	event.Log(ctx, c.log, event.DaemonStarted, slog.String("tunnel", c.set.Tunnel.String()))
+	select {
+	case err = <-ended:
+	case <-ctx.Done():
+		c.leave(work)
+	}
+	event.Log(work, c.log, event.DaemonStopped)
+	return err
+}
+
+func (d *Daemon) parts() int { return d.control.set.Workers + 4 }
+
+func always() bool { return true }
+
+// forward passes on the ends of n goroutines.
+func forward(from <-chan error, n int, to chan<- error) {
+	for range n {
+		to <- <-from
+	}
+}
+
+// watch follows a value of the platform and notes when it fails and returns.
+func (d *Daemon) watch(ctx context.Context, key platform.Key, allowed func() bool, got func(context.Context, []byte)) error {
+	c := d.control
+	d.platform.Watch(ctx, key, allowed,
+		func(body []byte) {
+			if d.platformDown.Swap(false) {
+				event.Log(ctx, c.log, event.PlatformBack)
+			}
+			got(ctx, body)
+		},
+		func(err error) {
+			if !d.platformDown.Swap(true) {
+				event.Log(ctx, c.log, event.PlatformDown, slog.String("key", string(key)), slog.String("error", err.Error()))
+			}
+		})
+	return nil
+}
+
+// InForce returns the version of the configuration in force.
+func (d *Daemon) InForce() config.Version { return d.engine.Version() }
--- /dev/null
+++ b/amaranthd/daemon/leave.go
@@ -0,0 +1,94 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/amaranthswitch/amaranthswitch/amaranthd/vm"
+	"github.com/amaranthswitch/amaranthswitch/fleet/config"
+	"github.com/amaranthswitch/amaranthswitch/fleet/event"
+	"github.com/amaranthswitch/amaranthswitch/fleet/steering"
+	"github.com/amaranthswitch/amaranthswitch/fleet/wire"
+)
+
+const (
+	itemsPerHandover = 500
+	handoverTries    = 3
+)
+
+// handOver gives the exceptions of this VM to the homes that take over.
+func (c *Control) handOver(ctx context.Context) {
+	byVM := make(map[config.VMID][]wire.FlowItem)
+	for _, m := range c.engine.HandOver() {
+		byVM[m.To] = append(byVM[m.To], wire.Item(m))
+	}
+	taken := 0
+	for to, items := range byVM {
+		for len(items) > 0 {
+			n := min(itemsPerHandover, len(items))
+			if err := c.handOverChunk(ctx, to, items[:n]); err != nil {
+				event.Log(ctx, c.log, event.HandoverFailed, slog.String("vm", string(to)), slog.Int("flows", n), slog.String("error", err.Error()))
+			} else {
+				taken += n
+			}
+			items = items[n:]
+		}
+	}
+	event.Log(ctx, c.log, event.HandoverDone, slog.Int("flows", taken))
+}
+
+func (c *Control) handOverChunk(ctx context.Context, id config.VMID, items []wire.FlowItem) (err error) {
+	to, ok := c.address(id)
+	if !ok {
+		return eris.Errorf("daemon: %s is not listed", id)
+	}
+	var reply vm.HandOverReply
+	for range handoverTries {
+		err = c.pool.Call(ctx, to, vm.HandOver, vm.HandOverRequest{From: c.set.VM, Items: items}, &reply)
+		if err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
+// serveHandOver takes exceptions from a VM that ceases to be their home. It is
+// idempotent.
+func (c *Control) serveHandOver(_ context.Context, params json.RawMessage) (result any, err error) {
+	defer func() { err = eris.Wrap(err, "daemon: serve handover") }()
+	var req vm.HandOverRequest
+	if err = json.Unmarshal(params, &req); err != nil {
+		return nil, err
+	}
+	now := c.clk.Now()
+	for _, item := range req.Items {
+		if item.Kind == steering.Handover || item.Kind == steering.Copy {
+			c.engine.Receive(now, req.From, item.Message())
+		}
+	}
+	return vm.HandOverReply{Taken: len(req.Items)}, nil
+}
+
+// leave hands over and goes on forwarding until others have taken notice.
+func (c *Control) leave(ctx context.Context) {
+	event.Log(ctx, c.log, event.DaemonLeaving)
+	now := c.clk.Now()
+	c.mu.Lock()
+	c.leaving = true
+	c.list.Leave()
+	c.membersChanged(ctx, now)
+	out := c.list.Announce(now)
+	c.mu.Unlock()
+	c.sendProbes(out)
+	c.handOver(ctx)
+	time.Sleep(max(0, now+c.set.Timers.LeaveMillis-c.clk.Now()).Duration())
+	c.handOver(ctx)
+	c.mu.Lock()
+	out = c.list.Announce(c.clk.Now())
+	c.mu.Unlock()
+	c.sendProbes(out)
+}
--- /dev/null
+++ b/amaranthd/daemon/status.go
@@ -0,0 +1,89 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/amaranthswitch/amaranthswitch/fleet/config"
+	"github.com/amaranthswitch/amaranthswitch/fleet/membership"
+	"github.com/amaranthswitch/amaranthswitch/fleet/steering"
+)
+
+// Status is what a daemon tells operators of itself.
+type Status struct {
+	VM        config.VMID               `json:"vm"`
+	Domain    config.DomainName         `json:"domain"`
+	Version   config.Version            `json:"version"`
+	Digest    config.Digest             `json:"digest"`
+	Leaving   bool                      `json:"leaving"`
+	Paused    bool                      `json:"paused"`
+	Flows     int64                     `json:"flows"`
+	Relay     bool                      `json:"relay"`
+	Watcher   bool                      `json:"watcher"`
+	Peers     []membership.Peer         `json:"peers"`
+	Upstreams []steering.UpstreamReport `json:"upstreams"`
+	Counters  Counters                  `json:"counters"`
+}
+
+// Counters are the daemon's counts since its start.
+type Counters struct {
+	Received        int64            `json:"received"`
+	Forwarded       int64            `json:"forwarded"`
+	Detoured        int64            `json:"detoured"`
+	Malformed       int64            `json:"malformed"`
+	Resets          int64            `json:"resets"`
+	Dropped         map[string]int64 `json:"dropped"`
+	Placed          int64            `json:"placed"`
+	Exceptions      int64            `json:"exceptions"`
+	Adopted         int64            `json:"adopted"`
+	Asked           int64            `json:"asked"`
+	Fallbacks       int64            `json:"fallbacks"`
+	Copies          int64            `json:"copies"`
+	Handovers       int64            `json:"handovers"`
+	ControlBytesOut int64            `json:"controlBytesOut"`
+	ControlBytesIn  int64            `json:"controlBytesIn"`
+	DetourBytes     int64            `json:"detourBytes"`
+}
+
+func (d *Daemon) serveStatus(context.Context, json.RawMessage) (any, error) {
+	return d.Status(), nil
+}
+
+// Status returns the state of the daemon.
+func (d *Daemon) Status() Status {
+	c := d.control
+	now := c.clk.Now()
+	s := Status{
+		VM: c.set.VM, Domain: c.set.Domain,
+		Paused: c.paused(now), Flows: c.engine.Flows(),
+		Watcher: c.watches(),
+		Peers:   *c.snapshot.Load(), Upstreams: c.engine.Report(now),
+		Counters: d.counters(),
+	}
+	c.mu.Lock()
+	s.Leaving, s.Relay = c.leaving, c.board.IsRelay()
+	c.mu.Unlock()
+	if cand := c.inForce.Load(); cand != nil {
+		s.Version, s.Digest = cand.File.Version, cand.Digest
+	}
+	return s
+}
+
+func (d *Daemon) counters() Counters {
+	p, st := &d.path.Counters, d.engine.Stats()
+	c := Counters{
+		Received: p.Received.Load(), Forwarded: p.Forwarded.Load(), Detoured: p.Detoured.Load(),
+		Malformed: p.Malformed.Load(), Resets: p.Resets.Load(), Dropped: make(map[string]int64),
+		Placed: st.Placed.Load(), Exceptions: st.Exceptions.Load(), Adopted: st.Adopted.Load(),
+		Asked: st.Asked.Load(), Fallbacks: st.Fallbacks.Load(), Copies: st.Copies.Load(), Handovers: st.Handovers.Load(),
+		DetourBytes: d.socket.DetourBytes.Load(),
+	}
+	for r := range steering.DropReason(steering.ReasonCount) {
+		if n := p.Dropped[r].Load(); n > 0 {
+			c.Dropped[r.String()] = n
+		}
+	}
+	c.ControlBytesOut = d.socket.ControlBytesOut.Load() + d.server.BytesOut.Load() + d.pool.BytesOut.Load()
+	c.ControlBytesIn = d.socket.ControlBytesIn.Load() + d.server.BytesIn.Load() + d.pool.BytesIn.Load()
+	return c
+}
--- /dev/null
+++ b/amaranthd/launch.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/amaranthswitch/amaranthswitch/amaranthd/daemon"
+	"github.com/amaranthswitch/amaranthswitch/amaranthd/settings"
+)
+
+// newLogger returns a logger of JSON lines at the named level.
+func newLogger(w io.Writer, level string) (log *slog.Logger, err error) {
+	var l slog.Level
+	if err = l.UnmarshalText([]byte(level)); err != nil {
+		return nil, eris.Wrapf(err, "field logLevel: %q", level)
+	}
+	return slog.New(slog.NewJSONHandler(w, &slog.HandlerOptions{Level: l})), nil
+}
+
+// runDaemon runs a daemon with the settings at path until a signal asks it to
+// stop.
+func runDaemon(ctx context.Context, path string) (err error) {
+	set, err := settings.Load(path)
+	if err != nil {
+		return err
+	}
+	log, err := newLogger(os.Stderr, set.LogLevel)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(ctx, os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	d, cleanup, err := daemon.New(ctx, set, log)
+	if err != nil {
+		return err
+	}
+	defer cleanup()
+	return d.Run(ctx)
+}
--- /dev/null
+++ b/amaranthd/platform/doc.go
@@ -0,0 +1,3 @@
+// Package platform reads the users' configuration service by blocking
+// queries.
+package platform
--- /dev/null
+++ b/amaranthd/settings/doc.go
@@ -0,0 +1,3 @@
+// Package settings reads the file from which a daemon learns its identity,
+// its addresses and its timers.
+package settings
--- /dev/null
+++ b/amaranthd/vm/rpc.go
@@ -0,0 +1,231 @@
+package vm
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
+)
+
+// Method names a call.
+type Method string
+
+// Handler serves one method. Its result is encoded as JSON.
+type Handler func(ctx context.Context, params json.RawMessage) (any, error)
+
+// Server serves calls.
+type Server struct {
+	mu       sync.RWMutex
+	handlers map[Method]Handler
+	conns    sync.Map
+	// BytesIn and BytesOut count the connections' bytes.
+	BytesIn, BytesOut atomic.Int64
+}
+
+// NewServer returns a server without methods.
+func NewServer() *Server { return &Server{handlers: make(map[Method]Handler)} }
+
+// Handle sets the handler of a method.
+func (s *Server) Handle(m Method, h Handler) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.handlers[m] = h
+}
+
+// Serve accepts connections on address until the returned function is called.
+func (s *Server) Serve(ctx context.Context, address netip.AddrPort) (cleanup func(), err error) {
+	defer func() { err = eris.Wrapf(err, "vm: serve %s", address) }()
+	var lc net.ListenConfig
+	ln, err := lc.Listen(ctx, "tcp", address.String())
+	if err != nil {
+		return nil, err
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		s.accept(ctx, ln)
+	}()
+	return func() {
+		_ = ln.Close()
+		<-ended
+		s.conns.Range(func(key, _ any) bool {
+			_ = key.(*jsonrpc2.Conn).Close()
+			return true
+		})
+	}, nil
+}
+
+func (s *Server) accept(ctx context.Context, ln net.Listener) {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		stream := jsonrpc2.NewBufferedStream(&countedConn{Conn: c, in: &s.BytesIn, out: &s.BytesOut}, jsonrpc2.VarintObjectCodec{})
+		conn := jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle)))
+		s.conns.Store(conn, true)
+		go func() {
+			<-conn.DisconnectNotify()
+			s.conns.Delete(conn)
+		}()
+	}
+}
+
+func (s *Server) handle(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+	s.mu.RLock()
+	h := s.handlers[Method(req.Method)]
+	s.mu.RUnlock()
+	if h == nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "vm: unknown method " + req.Method}
+	}
+	var params json.RawMessage
+	if req.Params != nil {
+		params = *req.Params
+	}
+	return h(ctx, params)
+}
+
+// countedConn counts a connection's bytes.
+type countedConn struct {
+	net.Conn
+	in, out *atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.in.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.out.Add(int64(n))
+	return n, err
+}
+
+// Pool makes calls to other VMs over connections that it keeps. A call that
+// gets no answer in time closes its connection, so that the next one dials
+// anew: a connection may have gone silent while new ones work.
+type Pool struct {
+	local   netip.Addr
+	timeout clock.Millis
+	// Silent is called for each connection closed for its silence.
+	Silent func(to netip.AddrPort)
+
+	mu    sync.Mutex
+	conns map[netip.AddrPort]*poolConn
+
+	BytesIn, BytesOut atomic.Int64
+}
+
+// poolConn is a connection with the time of its last use.
+type poolConn struct {
+	conn *jsonrpc2.Conn
+	used time.Time
+}
+
+const maxIdleConn = 10 * time.Second
+
+// NewPool returns a pool that dials from the local address, if it is valid,
+// and bounds each call by timeout.
+func NewPool(local netip.Addr, timeout clock.Millis) (p *Pool, cleanup func()) {
+	p = &Pool{local: local, timeout: timeout, Silent: func(netip.AddrPort) {}, conns: make(map[netip.AddrPort]*poolConn)}
+	return p, p.close
+}
+
+func (p *Pool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for to, c := range p.conns {
+		_ = c.conn.Close()
+		delete(p.conns, to)
+	}
+}
+
+// Call calls a method of the VM at to with the pool's timeout.
+func (p *Pool) Call(ctx context.Context, to netip.AddrPort, m Method, params, result any) (err error) {
+	return p.CallWithin(ctx, p.timeout, to, m, params, result)
+}
+
+// CallWithin calls a method of the VM at to and waits at most for timeout.
+// After an error the call may or may not have been served.
+func (p *Pool) CallWithin(ctx context.Context, timeout clock.Millis, to netip.AddrPort, m Method, params, result any) (err error) {
+	defer func() { err = eris.Wrapf(err, "vm: call %s of %s", m, to) }()
+	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
+	defer cancel()
+	conn, err := p.conn(ctx, to)
+	if err != nil {
+		return err
+	}
+	err = conn.Call(ctx, string(m), params, result)
+	var remote *jsonrpc2.Error
+	if err == nil || eris.As(err, &remote) {
+		return err
+	}
+	p.discard(to, conn)
+	if eris.Is(err, context.DeadlineExceeded) {
+		p.Silent(to)
+	}
+	return err
+}
+
+func (p *Pool) conn(ctx context.Context, to netip.AddrPort) (*jsonrpc2.Conn, error) {
+	p.mu.Lock()
+	c := p.conns[to]
+	if c != nil && time.Since(c.used) > maxIdleConn {
+		_ = c.conn.Close()
+		delete(p.conns, to)
+		c = nil
+	}
+	if c != nil {
+		c.used = time.Now()
+		p.mu.Unlock()
+		return c.conn, nil
+	}
+	p.mu.Unlock()
+	return p.dial(ctx, to)
+}
+
+func (p *Pool) dial(ctx context.Context, to netip.AddrPort) (*jsonrpc2.Conn, error) {
+	var d net.Dialer
+	if p.local.IsValid() {
+		d.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(p.local, 0))
+	}
+	raw, err := d.DialContext(ctx, "tcp", to.String())
+	if err != nil {
+		return nil, err
+	}
+	stream := jsonrpc2.NewBufferedStream(&countedConn{Conn: raw, in: &p.BytesIn, out: &p.BytesOut}, jsonrpc2.VarintObjectCodec{})
+	conn := jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.HandlerWithError(refuse))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if old := p.conns[to]; old != nil {
+		_ = conn.Close()
+		return old.conn, nil
+	}
+	p.conns[to] = &poolConn{conn: conn, used: time.Now()}
+	return conn, nil
+}
+
+func refuse(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
+	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "vm: the caller serves no methods"}
+}
+
+func (p *Pool) discard(to netip.AddrPort, conn *jsonrpc2.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c := p.conns[to]; c != nil && c.conn == conn {
+		delete(p.conns, to)
+	}
+	_ = conn.Close()
+}
--- /dev/null
+++ b/amaranthd/vm/socket.go
@@ -0,0 +1,163 @@
+package vm
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync/atomic"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/net/ipv4"
+
+	"github.com/amaranthswitch/amaranthswitch/fleet/config"
+	"github.com/amaranthswitch/amaranthswitch/fleet/membership"
+	"github.com/amaranthswitch/amaranthswitch/fleet/wire"
+)
+
+const (
+	batchSize = 32
+	// maxDatagram holds the largest datagram that UDP carries.
+	maxDatagram = 1 << 16
+	// datagramOverhead is the IPv4 and UDP header of a datagram in bytes.
+	datagramOverhead = 28
+)
+
+// SocketSeams take what a Socket receives.
+type SocketSeams struct {
+	// Detour takes a packet that another VM detoured. The data is valid only
+	// during the call.
+	Detour func(h wire.DetourHeader, data []byte)
+	// Datagram takes any other datagram.
+	Datagram func(kind wire.Kind, data []byte)
+	// Invalid takes note of a datagram that cannot be read.
+	Invalid func()
+}
+
+// Directory is the set of VMs that are talked to. It is immutable.
+type Directory map[config.VMID]membership.VM
+
+// Socket exchanges datagrams.
+type Socket struct {
+	self  config.VMID
+	conn  *net.UDPConn
+	seams SocketSeams
+	dir   atomic.Pointer[Directory]
+
+	// ControlBytesOut and ControlBytesIn count datagrams other than detours,
+	// with their IP and UDP headers.
+	ControlBytesOut atomic.Int64
+	ControlBytesIn  atomic.Int64
+	ControlOut      atomic.Int64
+	// DetourBytes counts detoured packets sent.
+	DetourBytes atomic.Int64
+}
+
+// NewSocket opens the peer address with buffers of the given size.
+func NewSocket(ctx context.Context, self config.VMID, address netip.AddrPort, buffers int) (s *Socket, cleanup func(), err error) {
+	defer func() { err = eris.Wrapf(err, "vm: open %s", address) }()
+	var lc net.ListenConfig
+	pc, err := lc.ListenPacket(ctx, "udp", address.String())
+	if err != nil {
+		return nil, nil, err
+	}
+	s = &Socket{self: self, conn: pc.(*net.UDPConn)}
+	_ = s.conn.SetReadBuffer(buffers)
+	_ = s.conn.SetWriteBuffer(buffers)
+	s.dir.Store(&Directory{})
+	return s, func() { _ = s.conn.Close() }, nil
+}
+
+// SetSeams sets what takes the received datagrams, before Run.
+func (s *Socket) SetSeams(seams SocketSeams) { s.seams = seams }
+
+// SetDirectory replaces the set of VMs that are talked to.
+func (s *Socket) SetDirectory(d Directory) { s.dir.Store(&d) }
+
+// Directory returns the set of VMs that are talked to. The caller must not
+// change it.
+func (s *Socket) Directory() Directory { return *s.dir.Load() }
+
+// Run starts the reader, which reports its end on the returned channel. It
+// ends when the socket is closed.
+func (s *Socket) Run(ctx context.Context) <-chan error {
+	ch := make(chan error, 1)
+	go func() { ch <- s.read(ctx) }()
+	return ch
+}
+
+func (s *Socket) read(ctx context.Context) error {
+	pc := ipv4.NewPacketConn(s.conn)
+	in := make([]ipv4.Message, batchSize)
+	for i := range in {
+		in[i].Buffers = [][]byte{make([]byte, maxDatagram)}
+	}
+	for {
+		n, err := pc.ReadBatch(in, 0)
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return eris.Wrap(err, "vm: read")
+		}
+		for i := range in[:n] {
+			s.receive(in[i].Buffers[0][:in[i].N])
+		}
+	}
+}
+
+func (s *Socket) receive(data []byte) {
+	if len(data) == 0 {
+		return
+	}
+	if kind := wire.Kind(data[0]); kind != wire.Detour {
+		s.ControlBytesIn.Add(int64(len(data) + datagramOverhead))
+		s.seams.Datagram(kind, data)
+		return
+	}
+	h, packet, err := wire.ParseDetour(data, s.intern)
+	if err != nil {
+		s.seams.Invalid()
+		return
+	}
+	s.seams.Detour(h, packet)
+}
+
+// intern returns the identifier of a listed VM without allocating.
+func (s *Socket) intern(id []byte) (config.VMID, bool) {
+	vm, ok := (*s.dir.Load())[config.VMID(id)]
+	return vm.ID, ok
+}
+
+// SendDetour sends a packet to another VM.
+func (s *Socket) SendDetour(to config.VMID, hops uint8, belief config.UpstreamID, data []byte) {
+	vm, ok := (*s.dir.Load())[to]
+	if !ok {
+		return
+	}
+	var buf [2048]byte
+	out := wire.AppendDetour(buf[:0], wire.DetourHeader{From: s.self, Hops: hops, Belief: belief})
+	out = append(out, data...)
+	s.DetourBytes.Add(int64(len(out)))
+	_, _ = s.conn.WriteToUDPAddrPort(out, vm.Peer)
+}
+
+// Send sends a datagram other than a detour.
+func (s *Socket) Send(to config.VMID, kind wire.Kind, v any) (err error) {
+	vm, ok := (*s.dir.Load())[to]
+	if !ok {
+		return eris.Errorf("vm: %s is not listed", to)
+	}
+	return s.SendTo(vm.Peer, kind, v)
+}
+
+// SendTo sends a datagram to an address.
+func (s *Socket) SendTo(to netip.AddrPort, kind wire.Kind, v any) (err error) {
+	data, err := wire.Encode(kind, v)
+	if err != nil {
+		return err
+	}
+	s.ControlOut.Add(1)
+	s.ControlBytesOut.Add(int64(len(data) + datagramOverhead))
+	_, err = s.conn.WriteToUDPAddrPort(data, to)
+	return eris.Wrap(err, "vm: send")
+}
--- /dev/null
+++ b/fleet/event/event.go
@@ -0,0 +1,112 @@
+package event
+
+import (
+	"context"
+	"log/slog"
+)
+
+// ID is the number of an event.
+type ID int
+
+// Events of the daemon's life.
+const (
+	DaemonStarted  ID = 1001
+	DaemonLeaving  ID = 1002
+	DaemonStopped  ID = 1003
+	PauseDetected  ID = 1004
+	PauseOver      ID = 1005
+	SettingsFailed ID = 1006
+)
+
+// Events of the configuration.
+const (
+	ConfigAccepted ID = 2001
+	ConfigInvalid  ID = 2002
+	ConfigOlder    ID = 2003
+	ConfigConflict ID = 2004
+	ConfigFetched  ID = 2005
+	PlatformDown   ID = 2006
+	PlatformBack   ID = 2007
+	ListInvalid    ID = 2008
+)
+
+// Events of the membership.
+const (
+	VMChanged      ID = 3001
+	ChannelSilent  ID = 3002
+	MessageInvalid ID = 3003
+	HandoverDone   ID = 3004
+	HandoverFailed ID = 3005
+)
+
+// Events of upstreams.
+const (
+	UpstreamCold      ID = 4001
+	UpstreamUnhealthy ID = 4002
+	UpstreamHealthy   ID = 4003
+	DomainOut         ID = 4004
+	DomainIn          ID = 4005
+)
+
+// Events of requests.
+const (
+	RequestUnknown ID = 5001
+	ClaimLost      ID = 5002
+	AnswerCut      ID = 5003
+)
+
+// Names gives each event the name that the catalogue lists.
+var Names = map[ID]string{
+	DaemonStarted:     "daemonStarted",
+	DaemonLeaving:     "daemonLeaving",
+	DaemonStopped:     "daemonStopped",
+	PauseDetected:     "pauseDetected",
+	PauseOver:         "pauseOver",
+	SettingsFailed:    "settingsFailed",
+	ConfigAccepted:    "configAccepted",
+	ConfigInvalid:     "configInvalid",
+	ConfigOlder:       "configOlder",
+	ConfigConflict:    "configConflict",
+	ConfigFetched:     "configFetched",
+	PlatformDown:      "platformDown",
+	PlatformBack:      "platformBack",
+	ListInvalid:       "listInvalid",
+	VMChanged:         "vmChanged",
+	ChannelSilent:     "channelSilent",
+	MessageInvalid:    "messageInvalid",
+	HandoverDone:      "handoverDone",
+	HandoverFailed:    "handoverFailed",
+	UpstreamCold:      "upstreamCold",
+	UpstreamUnhealthy: "upstreamUnhealthy",
+	UpstreamHealthy:   "upstreamHealthy",
+	DomainOut:         "domainOut",
+	DomainIn:          "domainIn",
+	RequestUnknown:    "requestUnknown",
+	ClaimLost:         "claimLost",
+	AnswerCut:         "answerCut",
+}
+
+// level gives the events that are not merely informative their level.
+var levels = map[ID]slog.Level{
+	PauseDetected:     slog.LevelWarn,
+	SettingsFailed:    slog.LevelError,
+	ConfigInvalid:     slog.LevelError,
+	ConfigConflict:    slog.LevelError,
+	ConfigOlder:       slog.LevelWarn,
+	PlatformDown:      slog.LevelWarn,
+	ListInvalid:       slog.LevelError,
+	ChannelSilent:     slog.LevelWarn,
+	MessageInvalid:    slog.LevelDebug,
+	HandoverFailed:    slog.LevelWarn,
+	UpstreamCold:      slog.LevelWarn,
+	UpstreamUnhealthy: slog.LevelWarn,
+	RequestUnknown:    slog.LevelWarn,
+	ClaimLost:         slog.LevelWarn,
+	AnswerCut:         slog.LevelWarn,
+}
+
+// Log writes the event with its number, name and attributes.
+func Log(ctx context.Context, log *slog.Logger, id ID, attrs ...slog.Attr) {
+	all := append([]slog.Attr{slog.Int("event", int(id))}, attrs...)
+	log.LogAttrs(ctx, levels[id], Names[id], all...)
+}
--- /dev/null
+++ b/fleet/flow/id.go
@@ -0,0 +1,46 @@
+package flow
+
+import (
+	"encoding/binary"
+	"encoding/hex"
+	"fmt"
+
+	"github.com/dchest/siphash"
+)
+
+// ID identifies a flow. Hi selects the flow's home and shard, Lo its slot in
+// the lookup table. The zero ID names no flow.
+type ID struct {
+	Hi, Lo uint64
+}
+
+// Less orders identifiers.
+func (id ID) Less(other ID) bool {
+	if id.Hi != other.Hi {
+		return id.Hi < other.Hi
+	}
+	return id.Lo < other.Lo
+}
+
+// Key is the secret of the hash. All VMs use the key of the configuration.
+type Key struct {
+	K0, K1 uint64
+}
+
+// ParseKey decodes 32 hexadecimal digits. The empty text gives the zero key.
+func ParseKey(text string) (k Key, err error) {
+	if text == "" {
+		return Key{}, nil
+	}
+	raw, err := hex.DecodeString(text)
+	if err != nil || len(raw) != 16 {
+		return Key{}, fmt.Errorf("flow: hash key %q is not 32 hexadecimal digits", text)
+	}
+	return Key{K0: binary.BigEndian.Uint64(raw), K1: binary.BigEndian.Uint64(raw[8:])}, nil
+}
+
+// Hash returns the identifier of the flow with the given canonical bytes.
+func (k Key) Hash(tuple []byte) ID {
+	hi, lo := siphash.Hash128(k.K0, k.K1, tuple)
+	return ID{Hi: hi, Lo: lo}
+}
--- /dev/null
+++ b/fleet/homes/view.go
@@ -0,0 +1,84 @@
+package homes
+
+import (
+	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
+	"github.com/amaranthswitch/amaranthswitch/fleet/config"
+	"github.com/amaranthswitch/amaranthswitch/fleet/flow"
+)
+
+// PastHomes is the number of earlier homes a bucket remembers.
+const PastHomes = 4
+
+// View is a ring with what is known of earlier rings. It is immutable.
+type View struct {
+	ring    *Ring
+	past    [][PastHomes]config.VMID
+	changed []clock.Millis
+}
+
+// NewView returns the first view of a process that starts at now. Every bucket
+// counts as changed, since others may have served it before.
+func NewView(now clock.Millis, vms []config.VMID) *View {
+	v := &View{
+		ring:    Build(vms),
+		past:    make([][PastHomes]config.VMID, Buckets),
+		changed: make([]clock.Millis, Buckets),
+	}
+	for b := range v.changed {
+		v.changed[b] = now
+	}
+	return v
+}
+
+// Advance returns the view after the set of VMs became vms at now.
+func (v *View) Advance(now clock.Millis, vms []config.VMID) *View {
+	next := &View{
+		ring:    Build(vms),
+		past:    append([][PastHomes]config.VMID(nil), v.past...),
+		changed: append([]clock.Millis(nil), v.changed...),
+	}
+	for b := range next.changed {
+		was, is := v.ring.At(b, 0), next.ring.At(b, 0)
+		if was == is {
+			continue
+		}
+		next.changed[b] = now
+		if was != "" {
+			next.past[b] = push(v.past[b], was)
+		}
+	}
+	return next
+}
+
+// push puts vm before the others and drops its earlier mention, or the last
+// one.
+func push(past [PastHomes]config.VMID, vm config.VMID) (next [PastHomes]config.VMID) {
+	next[0] = vm
+	n := 1
+	for _, p := range past {
+		if p != vm && n < PastHomes {
+			next[n] = p
+			n++
+		}
+	}
+	return next
+}
+
+// Ring returns the current ring.
+func (v *View) Ring() *Ring { return v.ring }
+
+// Home returns the VM that places the flow, or the empty identifier.
+func (v *View) Home(id flow.ID) config.VMID { return v.ring.At(BucketOf(id), 0) }
+
+// Second returns the VM that keeps copies for the flow's home.
+func (v *View) Second(id flow.ID) config.VMID { return v.ring.At(BucketOf(id), 1) }
+
+// Rank returns the VM of rank n for the flow, 0 to Ranks-1.
+func (v *View) Rank(id flow.ID, n int) config.VMID { return v.ring.At(BucketOf(id), n) }
+
+// Past returns the earlier homes of the flow's bucket, newest first; unknown
+// ones are empty.
+func (v *View) Past(id flow.ID) [PastHomes]config.VMID { return v.past[BucketOf(id)] }
+
+// ChangedAt returns when the flow's bucket last changed its home.
+func (v *View) ChangedAt(id flow.ID) clock.Millis { return v.changed[BucketOf(id)] }
--- /dev/null
+++ b/fleet/steering/pending.go
@@ -0,0 +1,223 @@
+package steering
+
+import (
+	"net/netip"
+
+	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
+	"github.com/amaranthswitch/amaranthswitch/fleet/config"
+	"github.com/amaranthswitch/amaranthswitch/fleet/flow"
+	"github.com/amaranthswitch/amaranthswitch/fleet/packet"
+)
+
+const (
+	// maxPending bounds the flows that wait for answers.
+	maxPending = 8192
+	// maxAsked bounds the VMs asked about one flow.
+	maxAsked = 8
+)
+
+// findFlow handles a packet in the middle of a TCP flow that this home does
+// not know. Such a flow is never placed anew.
+func (e *Engine) findFlow(now clock.Millis, sh *shard, s *service, m *members, p *Packet) Action {
+	if e.homeless {
+		return e.placeFlow(now, sh, s, m, p)
+	}
+	options := e.options(s, p.ID)
+	ambiguous := len(options) > 1
+	if ambiguous || now-m.view.ChangedAt(p.ID) < e.limits.MidSettleMillis {
+		recent := now-m.view.ChangedAt(p.ID) < e.limits.SettleMillis
+		wide := ambiguous || recent || e.lostHome(m, p.ID)
+		if act, asked := e.ask(now, sh, s, m, p, false, wide); asked {
+			return act
+		}
+	}
+	return e.fallBack(now, sh, s, p, options)
+}
+
+// options returns the upstreams that the table had for the flow and that may
+// still get its packets, the current pick first.
+func (e *Engine) options(s *service, id flow.ID) (list []*Upstream) {
+	var buf [maxAsked + 1]config.UpstreamID
+	for _, u := range s.history.Candidates(id, buf[:0]) {
+		if up := s.byID[u]; up != nil && up.keeps() {
+			list = append(list, up)
+		}
+	}
+	return list
+}
+
+// lostHome reports whether an earlier home of the flow no longer answers.
+func (e *Engine) lostHome(m *members, id flow.ID) bool {
+	for _, vm := range m.view.Past(id) {
+		if vm != "" && !m.live[vm] {
+			return true
+		}
+	}
+	return false
+}
+
+// fallBack forwards a packet of a flow that nobody knows to the upstream that
+// the table gives. All lasting exceptions are copied, so that a flow without
+// a record is where the table has it.
+func (e *Engine) fallBack(now clock.Millis, sh *shard, s *service, p *Packet, options []*Upstream) Action {
+	if len(options) == 0 {
+		return drop(Unresolved)
+	}
+	e.stats.Fallbacks.Add(1)
+	return e.continueFlow(now, e.insert(now, sh, p, options[0]), p)
+}
+
+// ask holds the packet and asks the VMs that may know its flow. It reports
+// false if there is nobody to ask.
+func (e *Engine) ask(now clock.Millis, sh *shard, s *service, m *members, p *Packet, opening, wide bool) (Action, bool) {
+	targets := e.targets(m, p.ID, wide)
+	if len(targets) == 0 {
+		return Action{}, false
+	}
+	if e.pendings.Load() >= maxPending {
+		return drop(HoldFull), true
+	}
+	sh.pending[p.ID] = &pending{
+		opening: opening, udp: !p.TCP, vni: s.vni, waiting: len(targets),
+		deadline: now + e.limits.AskTimeoutMillis, client: p.Src, port: p.Dst.Port(),
+	}
+	e.pendings.Add(1)
+	for _, vm := range targets {
+		e.stats.Asked.Add(1)
+		e.send(Message{To: vm, Kind: Ask, ID: p.ID, VNI: s.vni})
+	}
+	return Action{Kind: Hold}, true
+}
+
+// targets lists the VMs to ask: earlier homes, the neighbours in rank and, if
+// wide, others that may have the flow in their cache.
+func (e *Engine) targets(m *members, id flow.ID, wide bool) (list []config.VMID) {
+	add := func(vm config.VMID) {
+		if vm == "" || vm == e.self || !m.usable(vm) || len(list) == maxAsked {
+			return
+		}
+		for _, have := range list {
+			if have == vm {
+				return
+			}
+		}
+		list = append(list, vm)
+	}
+	for _, vm := range m.view.Past(id) {
+		add(vm)
+	}
+	add(m.view.Rank(id, 1))
+	add(m.view.Rank(id, 2))
+	if wide {
+		vms := m.view.Ring().VMs()
+		for i := range vms {
+			add(vms[(i+int(id.Lo%uint64(len(vms))))%len(vms)])
+		}
+	}
+	return list
+}
+
+// Receive handles a message from another VM.
+func (e *Engine) Receive(now clock.Millis, from config.VMID, msg Message) {
+	s := e.routes.Load().services[msg.VNI]
+	if s == nil {
+		if msg.Kind == Ask {
+			e.send(Message{To: from, Kind: Answer, ID: msg.ID, VNI: msg.VNI})
+		}
+		return
+	}
+	sh := e.shard(msg.ID)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	switch msg.Kind {
+	case Ask:
+		e.answer(sh, from, msg)
+	case Answer:
+		e.answered(now, sh, s, msg)
+	default:
+		e.note(now, sh, s, msg)
+	}
+}
+
+// answer tells what this VM knows of a flow. The asker counts the flow from
+// now on.
+func (e *Engine) answer(sh *shard, from config.VMID, msg Message) {
+	reply := Message{To: from, Kind: Answer, ID: msg.ID, VNI: msg.VNI}
+	if en := sh.flows[msg.ID]; en != nil && en.up.keeps() {
+		reply.Upstream = en.up.ID
+		if e.members.Load().view.Home(msg.ID) != e.self {
+			en.uncount()
+		}
+	}
+	e.send(reply)
+}
+
+func (e *Engine) answered(now clock.Millis, sh *shard, s *service, msg Message) {
+	pd := sh.pending[msg.ID]
+	if pd == nil {
+		return
+	}
+	if u := s.byID[msg.Upstream]; u != nil && u.keeps() {
+		delete(sh.pending, msg.ID)
+		e.insert(now, sh, pd.packet(msg.ID), u)
+		e.release(Release{ID: msg.ID})
+		return
+	}
+	pd.waiting--
+	if pd.waiting == 0 {
+		e.conclude(now, sh, s, msg.ID, pd)
+	}
+}
+
+// conclude ends the wait for a flow that no VM that answered knows.
+func (e *Engine) conclude(now clock.Millis, sh *shard, s *service, id flow.ID, pd *pending) {
+	delete(sh.pending, id)
+	p := pd.packet(id)
+	if pd.opening {
+		act := e.placeFlow(now, sh, s, e.members.Load(), p)
+		e.release(Release{ID: id, Discard: act.Kind != Forward, Reason: act.Reason})
+		return
+	}
+	options := e.options(s, id)
+	if len(options) == 0 || pd.missed {
+		e.release(Release{ID: id, Discard: true, Reason: Unresolved})
+		return
+	}
+	e.fallBack(now, sh, s, p, options)
+	e.release(Release{ID: id})
+}
+
+// packet rebuilds what steering needs of the packet that began the wait.
+func (pd *pending) packet(id flow.ID) *Packet {
+	return &Packet{Info: packet.Info{
+		VNI: pd.vni, ID: id, TCP: !pd.udp,
+		Src: pd.client, Dst: netip.AddrPortFrom(pd.client.Addr(), pd.port),
+	}}
+}
+
+// note records what another VM says of a flow. The home keeps its own record.
+func (e *Engine) note(now clock.Millis, sh *shard, s *service, msg Message) {
+	u := s.byID[msg.Upstream]
+	if u == nil || !u.keeps() {
+		return
+	}
+	en := sh.flows[msg.ID]
+	if en == nil {
+		if e.flows.Load() >= int64(e.limits.MaxFlows) && !e.evict(sh) {
+			return
+		}
+		en = e.insert(now, sh, &Packet{Info: packet.Info{TCP: msg.Kind != Learn}}, u)
+		en.flags |= flagEstablished
+		if msg.Kind == Learn {
+			home := e.members.Load().view.Home(msg.ID)
+			en.home, en.synced = shortHash(home), e.seconds(now)
+		}
+	} else if msg.Kind == Learn && en.up != u && e.members.Load().view.Home(msg.ID) != e.self {
+		en.uncount()
+		en.up = u
+	}
+	if msg.Kind == Copy || msg.Kind == Handover {
+		en.flags |= flagCopy
+		en.seen = e.seconds(now)
+	}
+}
--- /dev/null
+++ b/fleet/steering/routes.go
@@ -0,0 +1,163 @@
+package steering
+
+import (
+	"net/netip"
+
+	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
+	"github.com/amaranthswitch/amaranthswitch/fleet/config"
+	"github.com/amaranthswitch/amaranthswitch/fleet/lookup"
+	"github.com/amaranthswitch/amaranthswitch/fleet/warmup"
+)
+
+// service is a service as the packet path sees it. It is immutable.
+type service struct {
+	vni     config.VNI
+	name    config.ServiceName
+	address netip.Addr
+	history *lookup.History
+	byID    map[config.UpstreamID]*Upstream
+	// members are the upstreams of the current table.
+	members []*Upstream
+	// removed marks a service that left the file and only keeps its flows.
+	removed bool
+	warmUp  config.WarmUp
+}
+
+// routes is the compiled configuration. It is immutable but for the state
+// inside its upstreams.
+type routes struct {
+	version  config.Version
+	services map[config.VNI]*service
+	byID     map[config.UpstreamID]*Upstream
+}
+
+// compile derives the routes of f, keeping the upstream records, the table
+// histories and the flows of parts that left the file. first marks the first
+// configuration of a process, which starts no warm-up.
+func compile(now clock.Millis, old *routes, f *config.File, first bool) *routes {
+	next := &routes{
+		version:  f.Version,
+		services: make(map[config.VNI]*service, len(f.Services)),
+		byID:     make(map[config.UpstreamID]*Upstream),
+	}
+	for i := range f.Services {
+		s := &f.Services[i]
+		if s.Carries(config.KindFlow) {
+			next.services[s.VNI] = compileService(now, old, f, s, first)
+		}
+	}
+	used := addressUsers(f)
+	for vni, was := range old.services {
+		keepRemoved(now, next, vni, was, used)
+	}
+	for _, s := range next.services {
+		for id, u := range s.byID {
+			next.byID[id] = u
+		}
+	}
+	return next
+}
+
+func compileService(now clock.Millis, old *routes, f *config.File, s *config.Service, first bool) *service {
+	next := &service{
+		vni: s.VNI, name: s.Name, address: s.Address, warmUp: s.WarmUp,
+		byID: make(map[config.UpstreamID]*Upstream, len(s.Upstreams)),
+	}
+	was := old.services[s.VNI]
+	if was != nil && was.name != s.Name {
+		was = nil
+	}
+	var picks []config.UpstreamID
+	for i := range s.Upstreams {
+		conf := &s.Upstreams[i]
+		u := upstreamRecord(was, s, conf)
+		next.byID[u.ID] = u
+		before := u.State()
+		known := was != nil && was.byID[u.ID] != nil
+		u.state.Store(uint32(stateOf(f, conf)))
+		u.limit.Store(int64(conf.Connections))
+		if u.State() != Active {
+			continue
+		}
+		picks = append(picks, u.ID)
+		next.members = append(next.members, u)
+		if !first && (!known || before != Active) {
+			u.startRamp(now, s.WarmUp)
+		}
+	}
+	table := lookup.Build(lookup.SizeFor(len(s.Upstreams)), picks)
+	if was == nil {
+		next.history = lookup.NewHistory(table)
+	} else {
+		next.history = was.history.Advance(now, table)
+	}
+	return next
+}
+
+func upstreamRecord(was *service, s *config.Service, conf *config.Upstream) *Upstream {
+	id := s.ID(conf)
+	if was != nil {
+		if u := was.byID[id]; u != nil {
+			return u
+		}
+	}
+	addr, _ := netip.ParseAddrPort(conf.Address)
+	u := &Upstream{ID: id, VNI: s.VNI, Name: conf.Name, Domain: conf.Domain, Addr: addr}
+	u.ramp = warmup.Ramp{}
+	u.state.Store(uint32(Draining))
+	return u
+}
+
+func stateOf(f *config.File, u *config.Upstream) UpstreamState {
+	switch {
+	case f.DomainState(u.Domain) == config.DomainOut:
+		return Out
+	case u.State == config.UpstreamDrain:
+		return Draining
+	}
+	return Active
+}
+
+// addressUsers maps each tunnel address of f to the upstreams that use it.
+func addressUsers(f *config.File) map[string]map[config.UpstreamID]bool {
+	used := make(map[string]map[config.UpstreamID]bool)
+	for i := range f.Services {
+		s := &f.Services[i]
+		for j := range s.Upstreams {
+			u := &s.Upstreams[j]
+			if used[u.Address] == nil {
+				used[u.Address] = make(map[config.UpstreamID]bool)
+			}
+			used[u.Address][s.ID(u)] = true
+		}
+	}
+	return used
+}
+
+// keepRemoved carries over upstreams, and whole services, that left the file
+// while flows may still be open. An upstream whose failure domain went out
+// before stays out, and one whose address has a new user becomes void.
+func keepRemoved(now clock.Millis, next *routes, vni config.VNI, was *service, used map[string]map[config.UpstreamID]bool) {
+	s := next.services[vni]
+	if s == nil {
+		s = &service{
+			vni: vni, name: was.name, address: was.address, removed: true,
+			byID:    make(map[config.UpstreamID]*Upstream),
+			history: was.history.Advance(now, lookup.Build(lookup.SizeFor(1), nil)),
+		}
+		next.services[vni] = s
+	}
+	for id, u := range was.byID {
+		if s.byID[id] != nil {
+			continue
+		}
+		if s.name != was.name || used[u.Addr.String()] != nil {
+			u.state.Store(uint32(Void))
+		} else if u.State() == Active {
+			u.state.Store(uint32(Draining))
+		}
+		if u.State() != Void || u.Local() > 0 {
+			s.byID[id] = u
+		}
+	}
+}
--- /dev/null
+++ b/fleet/steering/tick.go
@@ -0,0 +1,207 @@
+package steering
+
+import (
+	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
+	"github.com/amaranthswitch/amaranthswitch/fleet/config"
+	"github.com/amaranthswitch/amaranthswitch/fleet/flow"
+)
+
+const (
+	// shardsPerTick is the part of the table that one tick scans.
+	shardsPerTick = 4
+	// maxResetsPerTick bounds unprompted resets.
+	maxResetsPerTick = 500
+	// maxCredit bounds, in seconds, how much of the rate of copies a burst
+	// may use.
+	maxCredit = 2
+)
+
+// Tick ends waits and silent flows, copies exceptions, and returns the resets
+// that are due. It is called every 100 milliseconds by one caller.
+func (e *Engine) Tick(now clock.Millis) (resets []ResetOrder) {
+	rate := float64(e.limits.CopiesPerSecond)
+	e.credit = min(maxCredit*rate, e.credit+rate*(now-e.tickAt).Seconds())
+	e.tickAt = now
+	if e.pendings.Load() > 0 {
+		e.expirePending(now)
+	}
+	for range shardsPerTick {
+		sh := &e.shards[e.scanned&shardMask]
+		e.scanned++
+		resets = e.scan(now, sh, resets)
+	}
+	return resets
+}
+
+func (e *Engine) expirePending(now clock.Millis) {
+	r := e.routes.Load()
+	for i := range e.shards {
+		sh := &e.shards[i]
+		sh.mu.Lock()
+		for id, pd := range sh.pending {
+			if now < pd.deadline {
+				continue
+			}
+			pd.missed = true
+			if s := r.services[pd.vni]; s != nil {
+				e.conclude(now, sh, s, id, pd)
+				continue
+			}
+			delete(sh.pending, id)
+			e.release(Release{ID: id, Discard: true, Reason: UnknownService})
+		}
+		sh.mu.Unlock()
+	}
+}
+
+// scan visits the flows of one shard.
+func (e *Engine) scan(now clock.Millis, sh *shard, resets []ResetOrder) []ResetOrder {
+	m, r := e.members.Load(), e.routes.Load()
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	for id, en := range sh.flows {
+		atHome := m.view.Home(id) == e.self
+		if !en.up.keeps() && atHome && en.is(flagTCP) && !en.is(flagReset) && len(resets) < maxResetsPerTick {
+			if s := r.services[en.up.VNI]; s != nil && en.is(flagEstablished) && en.ports[0] != 0 {
+				en.flags |= flagReset
+				en.uncount()
+				resets = append(resets, ResetOrder{Segment: en.resetSegment(s)})
+				e.stats.Resets.Add(1)
+			}
+		}
+		if e.expired(now, en, atHome) {
+			e.remove(sh, id, en)
+			e.flows.Add(-1)
+			continue
+		}
+		if e.credit >= 1 {
+			e.copyException(now, m, r, id, en, atHome)
+		}
+	}
+	return resets
+}
+
+// expired reports whether an entry has been silent for long enough.
+func (e *Engine) expired(now clock.Millis, en *entry, atHome bool) bool {
+	idle := clock.Millis(e.seconds(now)-en.seen) * clock.Second
+	l := &e.limits
+	switch {
+	case en.is(flagClosing):
+		return idle >= l.LingerMillis
+	case !en.is(flagEstablished):
+		return idle >= l.HalfOpenMillis && (en.is(flagTCP) || idle >= l.UDPIdleMillis)
+	case !en.is(flagTCP):
+		return idle >= l.UDPIdleMillis
+	case atHome || en.is(flagCounted):
+		return idle >= l.TCPIdleMillis
+	case en.is(flagCopy):
+		return idle >= 3*l.CopyRepeatMillis
+	}
+	return idle >= l.CacheIdleMillis
+}
+
+// copyException sends an exception to the VM that must know it: the second
+// home while this VM is home, the new home after it ceased to be.
+func (e *Engine) copyException(now clock.Millis, m *members, r *routes, id flow.ID, en *entry, atHome bool) {
+	if en.is(flagClosing) || !en.is(flagEstablished) || !en.up.keeps() {
+		return
+	}
+	if !atHome && !en.is(flagCounted|flagCopy) {
+		return
+	}
+	s := r.services[en.up.VNI]
+	if s == nil || s.history.Current().Pick(id) == en.up.ID {
+		return
+	}
+	to, kind := m.view.Second(id), Copy
+	if !atHome {
+		to, kind = m.view.Home(id), Handover
+	}
+	at := e.seconds(now)
+	young := at-en.since < uint32(e.limits.CopyAfterMillis/clock.Second)
+	if to == "" || to == e.self || (atHome && young) || !m.usable(to) {
+		return
+	}
+	mark := shortHash(to)
+	if en.home == mark && at-en.synced < uint32(e.limits.CopyRepeatMillis/clock.Second) {
+		return
+	}
+	if !atHome && en.is(flagCopy) && en.home == mark {
+		return
+	}
+	en.home, en.synced = mark, at
+	e.credit--
+	e.countTransfer(kind)
+	e.send(Message{To: to, Kind: kind, ID: id, VNI: s.vni, Upstream: en.up.ID})
+}
+
+func (e *Engine) countTransfer(kind MessageKind) {
+	if kind == Copy {
+		e.stats.Copies.Add(1)
+		return
+	}
+	e.stats.Handovers.Add(1)
+}
+
+// evict makes room in a full table by dropping a cached entry of the shard.
+// It reports whether it found one.
+func (e *Engine) evict(sh *shard) bool {
+	tries := 0
+	for id, en := range sh.flows {
+		if !en.is(flagCounted | flagCopy) {
+			e.remove(sh, id, en)
+			e.flows.Add(-1)
+			return true
+		}
+		if tries++; tries == 64 {
+			break
+		}
+	}
+	return false
+}
+
+// HandOver returns every exception and every flow on an ambiguous slot that
+// this VM counts, for the homes that take over when it leaves. Each is
+// returned as a message to its next home among the given VMs.
+func (e *Engine) HandOver() (list []Message) {
+	m, r := e.members.Load(), e.routes.Load()
+	for i := range e.shards {
+		sh := &e.shards[i]
+		sh.mu.Lock()
+		for id, en := range sh.flows {
+			if msg, ok := e.handOverEntry(m, r, id, en); ok {
+				list = append(list, msg)
+			}
+		}
+		sh.mu.Unlock()
+	}
+	e.stats.Handovers.Add(int64(len(list)))
+	return list
+}
+
+func (e *Engine) handOverEntry(m *members, r *routes, id flow.ID, en *entry) (msg Message, ok bool) {
+	s := r.services[en.up.VNI]
+	if s == nil || !en.up.keeps() || en.is(flagClosing) || !en.is(flagCounted|flagCopy) {
+		return msg, false
+	}
+	var buf [maxAsked + 1]config.UpstreamID
+	options := s.history.Candidates(id, buf[:0])
+	if len(options) == 1 && options[0] == en.up.ID {
+		return msg, false
+	}
+	to := e.nextHome(m, id)
+	if to == "" {
+		return msg, false
+	}
+	return Message{To: to, Kind: Handover, ID: id, VNI: s.vni, Upstream: en.up.ID}, true
+}
+
+// nextHome returns the first VM in rank that is not self and can be reached.
+func (e *Engine) nextHome(m *members, id flow.ID) config.VMID {
+	for n := range 3 {
+		if vm := m.view.Rank(id, n); vm != "" && vm != e.self && m.usable(vm) {
+			return vm
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/standin/caller/flows.go
@@ -0,0 +1,402 @@
+package caller
+
+import (
+	"container/heap"
+	"context"
+	"encoding/binary"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/amaranthswitch/amaranthswitch/fleet/config"
+	"github.com/amaranthswitch/amaranthswitch/fleet/packet"
+)
+
+const socketBufferBytes = 4 << 20
+
+// Plan describes the flows to one service.
+type Plan struct {
+	VNI     config.VNI
+	Address netip.Addr
+	// Flows is the number of flows held open; one that ends is replaced.
+	Flows int
+	// OpenPerSecond bounds the rate of new flows.
+	OpenPerSecond float64
+	// Packets is the number of segments of a flow before it closes, or zero
+	// for flows that stay open.
+	Packets int
+	// Interval is the time between segments of a flow.
+	Interval time.Duration
+	// Retransmit is the wait for an answer before a segment is sent again.
+	Retransmit time.Duration
+	// Reconnect makes a broken flow open again.
+	Reconnect bool
+}
+
+// flowState is the progress of one flow.
+type flowState uint8
+
+const (
+	opening flowState = iota
+	open
+	broken
+	closed
+)
+
+// Flow is one connection of a caller.
+type Flow struct {
+	plan   *Plan
+	src    netip.AddrPort
+	state  flowState
+	seq    uint32
+	sent   int
+	server string
+	at     time.Time // next event
+	last   time.Time // last answer
+	waits  bool      // for an answer
+	stall  time.Duration
+	index  int // in the heap
+	reset  bool
+	moved  bool
+}
+
+// Result sums up flows.
+type Result struct {
+	Opened  int `json:"opened"`
+	Open    int `json:"open"`
+	Closed  int `json:"closed"`
+	Broken  int `json:"broken"`
+	Reset   int `json:"reset"`
+	Moved   int `json:"moved"`
+	Waiting int `json:"waiting"`
+	// Excused counts broken flows that were on back ends whose end breaks
+	// them by intent.
+	Excused int `json:"excused"`
+	// LongestStall is the longest time in which an open flow got no answer.
+	LongestStall time.Duration `json:"longestStall"`
+	// ByServer counts open flows of each back end.
+	ByServer map[string]int `json:"byServer"`
+}
+
+// Flows drives flows over a fabric.
+type Flows struct {
+	conn *net.UDPConn
+	send func([]byte)
+	rng  *rand.Rand
+
+	mu      sync.Mutex
+	bySrc   map[netip.AddrPort]*Flow
+	queue   flowQueue
+	opened  int
+	closed  int
+	broken  int
+	reset   int
+	moved   int
+	excused int
+	excuse  map[string]bool
+	stall   time.Duration
+	plans   []*planState
+	next    uint32
+}
+
+type planState struct {
+	Plan
+	open   int
+	credit float64
+	at     time.Time
+	held   bool
+}
+
+// NewFlows returns a driver that receives answers on replyAddress and sends
+// with send. Answers come from back ends directly.
+func NewFlows(ctx context.Context, replyAddress string, send func([]byte), seed uint64) (f *Flows, stop func(), err error) {
+	defer func() { err = eris.Wrap(err, "caller: new flows") }()
+	ap, err := netip.ParseAddrPort(replyAddress)
+	if err != nil {
+		return nil, nil, err
+	}
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(ap))
+	if err != nil {
+		return nil, nil, err
+	}
+	_ = conn.SetReadBuffer(socketBufferBytes)
+	f = &Flows{
+		conn: conn, send: send, rng: rand.New(rand.NewPCG(seed, 2)),
+		bySrc: make(map[netip.AddrPort]*Flow), excuse: make(map[string]bool),
+		next: 0xc6120000 + uint32(seed%64)<<8, // 198.18.0.0/15, for benchmarks (RFC 2544)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{}, 2)
+	go func() { f.receive(); done <- struct{}{} }()
+	go func() { f.drive(ctx); done <- struct{}{} }()
+	return f, func() { cancel(); _ = conn.Close(); <-done; <-done }, nil
+}
+
+// ReplyAddress returns the address to which answers go.
+func (f *Flows) ReplyAddress() netip.AddrPort {
+	return f.conn.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+// Add starts the flows of a plan.
+func (f *Flows) Add(p Plan) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.plans = append(f.plans, &planState{Plan: p, at: time.Now()})
+}
+
+// StopOpening ends the opening of further flows.
+func (f *Flows) StopOpening() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.plans {
+		p.held = true
+	}
+}
+
+// Excuse marks back ends whose flows may break from now on.
+func (f *Flows) Excuse(servers ...config.UpstreamName) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range servers {
+		f.excuse[string(s)] = true
+	}
+}
+
+func (f *Flows) drive(ctx context.Context) {
+	tick := time.NewTicker(2 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			for _, data := range f.due(now) {
+				f.send(data)
+			}
+		}
+	}
+}
+
+// due returns the packets to send now.
+func (f *Flows) due(now time.Time) (out [][]byte) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, p := range f.plans {
+		f.openFlows(now, p)
+	}
+	for len(f.queue) > 0 && !f.queue[0].at.After(now) {
+		fl := f.queue[0]
+		if data := f.step(now, fl); data != nil {
+			out = append(out, data)
+		}
+		if fl.state == closed {
+			heap.Pop(&f.queue)
+			continue
+		}
+		heap.Fix(&f.queue, 0)
+	}
+	return out
+}
+
+func (f *Flows) openFlows(now time.Time, p *planState) {
+	p.credit = min(p.credit+p.OpenPerSecond*now.Sub(p.at).Seconds(), p.OpenPerSecond/10+1)
+	p.at = now
+	for !p.held && p.open < p.Flows && p.credit >= 1 {
+		p.credit--
+		p.open++
+		f.opened++
+		fl := &Flow{plan: &p.Plan, src: f.nextSource(), at: now, last: now}
+		f.bySrc[fl.src] = fl
+		heap.Push(&f.queue, fl)
+	}
+}
+
+// nextSource returns a caller address that was not used before.
+func (f *Flows) nextSource() netip.AddrPort {
+	f.next++
+	var a [4]byte
+	binary.BigEndian.PutUint32(a[:], 0xc6120000+f.next%(1<<17))
+	return netip.AddrPortFrom(netip.AddrFrom4(a), uint16(1024+f.rng.IntN(60000)))
+}
+
+// step sends the flow's next segment, or the last one again.
+func (f *Flows) step(now time.Time, fl *Flow) []byte {
+	if fl.state == broken {
+		f.finish(fl)
+		return nil
+	}
+	if wait := now.Sub(fl.last); fl.waits && wait > fl.stall {
+		fl.stall = wait
+		f.stall = max(f.stall, wait)
+	}
+	flags := packet.ACK
+	switch {
+	case fl.state == opening:
+		flags = packet.SYN
+	case !fl.waits:
+		fl.seq++
+		fl.sent++
+	}
+	done := fl.plan.Packets > 0 && fl.sent > fl.plan.Packets
+	if done {
+		flags = packet.FIN | packet.ACK
+	}
+	if !fl.waits {
+		fl.last = now
+	}
+	fl.waits = true
+	fl.at = now.Add(fl.plan.Retransmit)
+	data, _ := packet.Build(packet.Segment{
+		VNI: fl.plan.VNI, Src: fl.src, Dst: netip.AddrPortFrom(fl.plan.Address, 7000),
+		TCP: true, Flags: flags, Seq: fl.seq, Ack: 1, Payload: []byte("x")[:btoi(flags == packet.ACK)],
+	})
+	if done {
+		f.finish(fl)
+	}
+	return data
+}
+
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func (f *Flows) finish(fl *Flow) {
+	if fl.state != broken {
+		f.closed++
+	}
+	fl.state = closed
+	delete(f.bySrc, fl.src)
+	for _, p := range f.plans {
+		if &p.Plan == fl.plan && (fl.plan.Reconnect || fl.plan.Packets > 0) {
+			p.open--
+		}
+	}
+}
+
+func (f *Flows) receive() {
+	buf := make([]byte, 1<<16)
+	for {
+		n, _, err := f.conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			return
+		}
+		s, err := packet.Decode(buf[:n])
+		if err != nil {
+			continue
+		}
+		f.answer(time.Now(), s)
+	}
+}
+
+func (f *Flows) answer(now time.Time, s packet.Segment) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	fl := f.bySrc[s.Dst]
+	if fl == nil || fl.state == broken || fl.state == closed {
+		return
+	}
+	server := string(s.Payload)
+	switch {
+	case s.Flags.Has(packet.RST):
+		f.breakFlow(now, fl, true)
+	case fl.state == opening && s.Flags.Has(packet.SYN):
+		fl.state, fl.server, fl.waits = open, server, false
+	case server != fl.server:
+		f.breakFlow(now, fl, false)
+	default:
+		fl.waits = false
+	}
+	fl.last = now
+	if !fl.waits {
+		fl.at = now.Add(fl.plan.Interval/2 + time.Duration(f.rng.Int64N(int64(fl.plan.Interval)+1)))
+		heap.Fix(&f.queue, fl.index)
+	}
+}
+
+func (f *Flows) breakFlow(now time.Time, fl *Flow, reset bool) {
+	if fl.state == opening {
+		return // refused, the caller tries again
+	}
+	fl.state = broken
+	fl.at = now
+	fl.waits = false
+	switch {
+	case f.excuse[fl.server]:
+		f.excused++
+	case reset:
+		f.broken++
+		f.reset++
+	default:
+		f.broken++
+		f.moved++
+	}
+	heap.Fix(&f.queue, fl.index)
+}
+
+// ResetStall forgets the longest stall so far.
+func (f *Flows) ResetStall() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stall = 0
+	for _, fl := range f.queue {
+		fl.stall = 0
+	}
+}
+
+// Result sums up all flows so far.
+func (f *Flows) Result() Result {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := Result{
+		Opened: f.opened, Closed: f.closed, Broken: f.broken, Reset: f.reset, Moved: f.moved,
+		Excused: f.excused, LongestStall: f.stall, ByServer: make(map[string]int),
+	}
+	now := time.Now()
+	for _, fl := range f.queue {
+		if fl.state == open {
+			r.Open++
+			r.ByServer[fl.server]++
+		}
+		if fl.waits && now.Sub(fl.last) > 2*fl.plan.Retransmit {
+			r.Waiting++
+		}
+	}
+	return r
+}
+
+// flowQueue orders flows by their next event.
+type flowQueue []*Flow
+
+// Len implements heap.Interface.
+func (q flowQueue) Len() int { return len(q) }
+
+// Less implements heap.Interface.
+func (q flowQueue) Less(i, j int) bool { return q[i].at.Before(q[j].at) }
+
+// Swap implements heap.Interface.
+func (q flowQueue) Swap(i, j int) {
+	q[i], q[j] = q[j], q[i]
+	q[i].index, q[j].index = i, j
+}
+
+// Push implements heap.Interface.
+func (q *flowQueue) Push(x any) {
+	fl := x.(*Flow)
+	fl.index = len(*q)
+	*q = append(*q, fl)
+}
+
+// Pop implements heap.Interface.
+func (q *flowQueue) Pop() any {
+	old := *q
+	fl := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return fl
+}
--- /dev/null
+++ b/standin/fabric/doc.go
@@ -0,0 +1,3 @@
+// Package fabric stands in for the network fabric, which hands any packet to
+// any entry VM.
+package fabric
