Test the decisions of flows, and mend what the tests found

Cause: the decision packages had no tests. Driving engines by direct calls showed: entries of handovers, copies and learned flows were stored under the zero flow (107 of 3000 flows moved when a VM left); a dead VM that came back never learned that it was believed dead, since nobody told it (partition never healed); connection limits were overshot (202 of 200).

Change: entries carry their flow's identifier; probes and answers tell a suspected or dead receiver what is believed of it; the last connections are split by rounding down; homes extrapolate the others' placements since the last report.

--- a/fleet/homes/ring.go
+++ b/fleet/homes/ring.go
@@ -109,6 +109,24 @@
 	return chosen
 }
 
+// IsDesignated reports whether self is among the n VMs of vms that rank
+// highest for key, in time linear in the number of VMs.
+func IsDesignated(key string, vms []config.VMID, n int, self config.VMID) bool {
+	seed := xxhash.Sum64String(key)
+	own := mix(seed ^ xxhash.Sum64String(string(self)))
+	above, listed := 0, false
+	for _, vm := range vms {
+		w := mix(seed ^ xxhash.Sum64String(string(vm)))
+		switch {
+		case vm == self:
+			listed = true
+		case w > own || (w == own && vm < self):
+			above++
+		}
+	}
+	return listed && above < n
+}
+
 // VMs returns the VMs of the ring in ascending order. The caller must not
 // change the result.
 func (r *Ring) VMs() []config.VMID { return r.vms }
--- /dev/null
+++ b/fleet/lookup/main_test.go
@@ -0,0 +1,13 @@
+package lookup
+
+import (
+	"os"
+	"testing"
+
+	"github.com/amaranthswitch/amaranthswitch/fleet/internal/fixedseed"
+)
+
+func TestMain(m *testing.M) {
+	fixedseed.Use()
+	os.Exit(m.Run())
+}
--- a/fleet/membership/list.go
+++ b/fleet/membership/list.go
@@ -243,7 +243,7 @@
 func (l *List) probe(now clock.Millis, to, origin config.VMID, originSeq uint64) Send {
 	l.seq++
 	l.probes[l.seq] = &probe{to: to, sent: now, origin: origin, originSeq: originSeq}
-	return Send{To: l.members[to].vm, Msg: l.message(Ping, l.seq, origin)}
+	return Send{To: l.members[to].vm, Msg: l.tell(to, l.message(Ping, l.seq, origin))}
 }
 
 // message builds a message with the latest news.
@@ -255,6 +255,14 @@
 	}
 }
 
+// tell adds what is believed of the receiver, if it must refute that.
+func (l *List) tell(to config.VMID, msg Message) Message {
+	if m := l.members[to]; m.state == Suspect || m.state == Dead {
+		msg.Updates = append([]Update{{ID: to, Incarnation: m.incarnation, State: m.state, Home: m.home}}, msg.Updates...)
+	}
+	return msg
+}
+
 // news picks the statements that were passed on least. A statement is passed
 // on a number of times that grows with the logarithm of the fleet.
 func (l *List) news() (list []Update) {
@@ -343,7 +351,7 @@
 	}
 	switch msg.Kind {
 	case Ping:
-		out = append(out, Send{To: m.vm, Msg: l.message(Ack, msg.Seq, msg.Target)})
+		out = append(out, Send{To: m.vm, Msg: l.tell(msg.From, l.message(Ack, msg.Seq, msg.Target))})
 	case PingRequest:
 		if l.members[msg.Target] != nil {
 			out = append(out, l.probe(now, msg.Target, msg.From, msg.Seq))
--- a/fleet/steering/handle.go
+++ b/fleet/steering/handle.go
@@ -28,7 +28,7 @@
 		return e.endFlow(sh, p, en)
 	}
 	if home != e.self {
-		return e.handleAsIngress(now, m, home, p, en)
+		return e.handleAsIngress(now, home, p, en)
 	}
 	return e.handleAsHome(now, sh, s, m, p, en)
 }
@@ -60,7 +60,7 @@
 	e.flows.Add(-1)
 }
 
-func (e *Engine) handleAsIngress(now clock.Millis, m *members, home config.VMID, p *Packet, en *entry) Action {
+func (e *Engine) handleAsIngress(now clock.Millis, home config.VMID, p *Packet, en *entry) Action {
 	if en == nil || p.opens() {
 		return Action{Kind: Detour, VM: home}
 	}
@@ -177,9 +177,6 @@
 func (e *Engine) insert(now clock.Millis, sh *shard, p *Packet, u *Upstream) *entry {
 	at := e.seconds(now)
 	en := &entry{up: u, seen: at, since: at}
-	if p.TCP {
-		en.flags = flagTCP
-	}
 	en.setClient(p)
 	sh.flows[p.ID] = en
 	e.flows.Add(1)
@@ -189,6 +186,7 @@
 func (en *entry) setClient(p *Packet) {
 	en.client = p.Src.Addr().As16()
 	en.ports = [2]uint16{p.Src.Port(), p.Dst.Port()}
+	en.flags &^= flagTCP
 	if p.TCP {
 		en.flags |= flagTCP
 	}
--- a/fleet/steering/pending.go
+++ b/fleet/steering/pending.go
@@ -31,7 +31,7 @@
 			return act
 		}
 	}
-	return e.fallBack(now, sh, s, p, options)
+	return e.fallBack(now, sh, p, options)
 }
 
 // options returns the upstreams that the table had for the flow and that may
@@ -59,7 +59,7 @@
 // fallBack forwards a packet of a flow that nobody knows to the upstream that
 // the table gives. All lasting exceptions are copied, so that a flow without
 // a record is where the table has it.
-func (e *Engine) fallBack(now clock.Millis, sh *shard, s *service, p *Packet, options []*Upstream) Action {
+func (e *Engine) fallBack(now clock.Millis, sh *shard, p *Packet, options []*Upstream) Action {
 	if len(options) == 0 {
 		return drop(Unresolved)
 	}
@@ -183,7 +183,7 @@
 		e.release(Release{ID: id, Discard: true, Reason: Unresolved})
 		return
 	}
-	e.fallBack(now, sh, s, p, options)
+	e.fallBack(now, sh, p, options)
 	e.release(Release{ID: id})
 }
 
@@ -206,7 +206,7 @@
 		if e.flows.Load() >= int64(e.limits.MaxFlows) && !e.evict(sh) {
 			return
 		}
-		en = e.insert(now, sh, &Packet{Info: packet.Info{TCP: msg.Kind != Learn}}, u)
+		en = e.insert(now, sh, &Packet{Info: packet.Info{ID: msg.ID, TCP: true}}, u)
 		en.flags |= flagEstablished
 		if msg.Kind == Learn {
 			home := e.members.Load().view.Home(msg.ID)
--- a/fleet/steering/place.go
+++ b/fleet/steering/place.go
@@ -71,7 +71,8 @@
 func (e *Engine) walk(now clock.Millis, s *service, m *members, p *Packet) *Upstream {
 	table := s.history.Current()
 	panicking := s.panicking()
-	bound := e.bound(now, s)
+	vms := m.view.Ring().Len()
+	bound := e.bound(now, s, vms)
 	placers := len(m.listed)
 	var tried config.UpstreamID
 	for n := range candidatesPerMember * len(s.members) {
@@ -81,7 +82,7 @@
 		}
 		tried = id
 		u := s.byID[id]
-		if u.Total() >= bound || u.full(placers) || !(panicking || u.trusted(p)) {
+		if u.Estimate(vms) >= bound || u.full(placers) || !(panicking || u.trusted(p)) {
 			continue
 		}
 		if e.bears(now, u, m) {
@@ -154,13 +155,13 @@
 
 // bound returns the number of flows at which an upstream of s is above its
 // share, judged by the warm upstreams.
-func (e *Engine) bound(now clock.Millis, s *service) int64 {
+func (e *Engine) bound(now clock.Millis, s *service, vms int) int64 {
 	sum, n := int64(0), int64(0)
 	for _, u := range s.members {
 		if u.Ramp().Cold(now) {
 			continue
 		}
-		sum += u.Total()
+		sum += u.Estimate(vms)
 		n++
 	}
 	if n == 0 {
--- a/fleet/steering/upstream.go
+++ b/fleet/steering/upstream.go
@@ -58,6 +58,13 @@
 // Total returns the number of flows on u as far as this VM knows.
 func (u *Upstream) Total() int64 { return u.local.Load() + u.remote.Load() }
 
+// Estimate returns the number of flows on u now, on the assumption that each
+// of the VMs placed as many since the last report as this one.
+func (u *Upstream) Estimate(vms int) int64 {
+	local := u.local.Load()
+	return local + u.remote.Load() + (local-u.baseline.Load())*int64(max(0, vms-1))
+}
+
 // Ramp returns the warm-up of u.
 func (u *Upstream) Ramp() warmup.Ramp {
 	u.mu.Lock()
@@ -87,7 +94,7 @@
 	}
 	base := u.baseline.Load()
 	left := limit - base - u.remote.Load()
-	return (u.local.Load()-base)*int64(max(1, placers)) >= left
+	return (u.local.Load()-base+1)*int64(max(1, placers)) > left
 }
 
 // setRemote stores a report of the flows that other VMs count on u.
--- a/fleet/warmup/share.go
+++ b/fleet/warmup/share.go
@@ -1,6 +1,8 @@
 package warmup
 
 import (
+	"encoding/binary"
+
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
 	"github.com/amaranthswitch/amaranthswitch/fleet/config"
 	"github.com/amaranthswitch/amaranthswitch/fleet/homes"
@@ -28,20 +30,9 @@
 // IsPlacer reports whether self is one of the VMs that place flows on the
 // upstream at the given rate. The choice is by rank among the listed VMs.
 func IsPlacer(self config.VMID, id config.UpstreamID, listed []config.VMID, placers int) bool {
-	for _, vm := range homes.Designated(placerKey(id), listed, placers) {
-		if vm == self {
-			return true
-		}
-	}
-	return false
-}
-
-func placerKey(id config.UpstreamID) string {
-	b := make([]byte, 8)
-	for i := range b {
-		b[i] = byte(id >> (8 * i))
-	}
-	return string(b)
+	var key [8]byte
+	binary.BigEndian.PutUint64(key[:], uint64(id))
+	return homes.IsDesignated(string(key[:]), listed, placers, self)
 }
 
 // Take reports whether this VM may place a flow at now, when placers VMs share
--- /dev/null
+++ b/fleet/warmup/warmup_test.go
@@ -0,0 +1,84 @@
+package warmup
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
+	"github.com/amaranthswitch/amaranthswitch/fleet/config"
+)
+
+// TestShareStaysWithinRate lets all VMs take as often as they may; some
+// cannot reach the others, which changes nothing.
+func TestShareStaysWithinRate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 60).Draw(t, "vms")
+		rate := rapid.Float64Range(2, 300).Draw(t, "rate")
+		step := clock.Millis(rapid.IntRange(5, 9).Draw(t, "step"))
+		var listed []config.VMID
+		for i := range n {
+			listed = append(listed, config.VMID(fmt.Sprint(i)))
+		}
+		placers := Placers(rate, n)
+		shares := make([]Share, n)
+		places := make([]bool, n)
+		for i := range places {
+			places[i] = IsPlacer(listed[i], 42, listed, placers)
+		}
+		var taken []clock.Millis
+		for now := clock.Millis(1); now < 5000; now += step {
+			for i := range shares {
+				if places[i] && shares[i].Take(now, rate, placers) {
+					taken = append(taken, now)
+				}
+			}
+		}
+		first := 0
+		for i, at := range taken {
+			for at-taken[first] >= clock.Second {
+				first++
+			}
+			assert.Assert(t, float64(i-first+1) <= rate, "%d in a second at rate %g", i-first+1, rate)
+		}
+		assert.Assert(t, float64(len(taken)) >= rate, "only %d in five seconds at rate %g", len(taken), rate)
+	})
+}
+
+func TestDetector(t *testing.T) {
+	tests := []struct {
+		name   string
+		events func(d *Detector)
+		want   Verdict
+	}{
+		{"nothing", func(*Detector) {}, Steady},
+		{"same start", func(d *Detector) { d.Healthy(1, 1000); d.Healthy(2, 1500) }, Steady},
+		{"later start alone", func(d *Detector) { d.Healthy(1, 1000); d.Healthy(2, 90000) }, Doubtful},
+		{"refusal alone", func(d *Detector) { d.Refused(5) }, Doubtful},
+		{"one failed probe", func(d *Detector) { d.Failed(5) }, Doubtful},
+		{"later start and refusal", func(d *Detector) { d.Healthy(1, 1000); d.Refused(2); d.Healthy(3, 90000) }, TurnedCold},
+		{"later start and failed probe", func(d *Detector) { d.Healthy(1, 1000); d.Failed(2); d.Healthy(3, 90000) }, TurnedCold},
+		{"three failed probes", func(d *Detector) { d.Failed(1); d.Failed(2); d.Failed(3) }, Unhealthy},
+		{"failed probes, then well", func(d *Detector) { d.Failed(1); d.Failed(2); d.Failed(3); d.Healthy(4, 0) }, Doubtful},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var d Detector
+			test.events(&d)
+			assert.Equal(t, d.Verdict(10), test.want)
+		})
+	}
+}
+
+func ExampleRamp() {
+	r := Ramp{Start: 1000, Limits: config.WarmUp{DurationMillis: 10000, InitialPerSecond: 2, FullPerSecond: 22}}
+	for _, now := range []clock.Millis{1000, 6000, 11000} {
+		fmt.Println(r.Cold(now), r.PerSecond(now), r.Slots(now, 4))
+	}
+	// Output:
+	// true 2 1
+	// true 12 2
+	// false 22 4
+}
