--- a/amaranthd/daemon/control.go
+++ b/amaranthd/daemon/control.go
@@ -14,6 +14,7 @@
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
 	"github.com/amaranthswitch/amaranthswitch/fleet/config"
 	"github.com/amaranthswitch/amaranthswitch/fleet/event"
+	"github.com/amaranthswitch/amaranthswitch/fleet/homes"
 	"github.com/amaranthswitch/amaranthswitch/fleet/membership"
 	"github.com/amaranthswitch/amaranthswitch/fleet/rollout"
 	"github.com/amaranthswitch/amaranthswitch/fleet/steering"
@@ -24,8 +25,9 @@
 const (
 	// itemsPerDatagram keeps a batch of statements below a usual MTU.
 	itemsPerDatagram = 32
-	// resyncProbes is the number of VMs asked after a pause.
-	resyncProbes = 3
+	// queueDrainMillis is the least time after a pause in which packets are
+	// dropped, so that what queued up meanwhile is not taken for new.
+	queueDrainMillis = 300
 )
 
 // Control runs the decisions that are not about single packets.
@@ -49,7 +51,12 @@
 	// changedAt is the time of the first change of the membership that was
 	// not acted on yet, or zero.
 	changedAt clock.Millis
-	bodies    []*rollout.Candidate
+	// wokeAt is the end of the last pause, wokeSeq the last probe sent before
+	// it, and told whether a later probe was answered.
+	wokeAt  clock.Millis
+	wokeSeq uint64
+	told    bool
+	bodies  []*rollout.Candidate
 
 	// lastTick and resyncUntil guard the data path after a pause.
 	lastTick    atomic.Int64
@@ -128,9 +135,11 @@
 	gap := now - clock.Millis(c.lastTick.Load())
 	if gap > c.set.Timers.PauseMillis {
 		c.resyncUntil.Store(int64(now + c.set.Timers.ResyncMillis))
+		c.engine.Woke(now)
 		event.Log(ctx, c.log, event.PauseDetected, slog.Int64("gapMillis", int64(gap)))
 		c.mu.Lock()
-		c.heardAt = 0
+		c.heardAt, c.wokeAt, c.told = 0, now, false
+		c.wokeSeq = c.list.LastProbe()
 		sends := c.list.Announce(now)
 		c.mu.Unlock()
 		c.sendProbes(sends)
@@ -141,8 +150,9 @@
 // resynced ends the guard of the data path once another VM has told what is
 // in force and it has been taken.
 func (c *Control) resynced(ctx context.Context, now clock.Millis) {
-	if int64(now) < c.resyncUntil.Load() && !c.fetching {
-		c.resyncUntil.Store(0)
+	if int64(now) < c.resyncUntil.Load() && !c.fetching && c.told {
+		c.told = false
+		c.resyncUntil.Store(int64(c.wokeAt + queueDrainMillis))
 		event.Log(ctx, c.log, event.PauseOver)
 	}
 }
@@ -214,7 +224,7 @@
 			m.Unusable = append(m.Unusable, p.ID)
 		}
 		if p.Home {
-			m.Homes = append(m.Homes, p.ID)
+			m.Homes = append(m.Homes, homes.VM{ID: p.ID, Domain: p.Domain})
 		}
 		if p.Reachable && p.State != membership.Leaving {
 			active = append(active, tally.Peer{ID: p.ID, Domain: p.Domain})
@@ -295,6 +305,7 @@
 	out, ok := c.list.Receive(now, msg)
 	if ok {
 		c.heardAt = now
+		c.told = c.told || msg.Kind == membership.Ack && msg.Seq > c.wokeSeq
 		c.peerTold(ctx, now, msg)
 	}
 	c.mu.Unlock()
--- a/amaranthd/daemon/rollout.go
+++ b/amaranthd/daemon/rollout.go
@@ -127,7 +127,7 @@
 	}
 	c.engine.SetConfig(now, f)
 	c.board.SetUpstreams(f.Version, c.engine.UpstreamIDs())
-	c.list.SetConfig(f.Version, cand.Digest)
+	c.list.SetConfig(f.Version, cand.Digest.Short())
 	c.list.SetHome(!c.leaving && f.DomainState(c.set.Domain) == config.DomainIn)
 	c.membersChanged(ctx, now)
 	for _, fn := range c.OnConfig {
--- a/amaranthd/daemon/status.go
+++ b/amaranthd/daemon/status.go
@@ -7,6 +7,7 @@
 	"github.com/amaranthswitch/amaranthswitch/fleet/config"
 	"github.com/amaranthswitch/amaranthswitch/fleet/membership"
 	"github.com/amaranthswitch/amaranthswitch/fleet/steering"
+	"github.com/amaranthswitch/amaranthswitch/fleet/wire"
 )
 
 // Status is what a daemon tells operators of itself.
@@ -27,22 +28,22 @@
 
 // Counters are the daemon's counts since its start.
 type Counters struct {
-	Received        int64            `json:"received"`
-	Forwarded       int64            `json:"forwarded"`
-	Detoured        int64            `json:"detoured"`
-	Malformed       int64            `json:"malformed"`
-	Resets          int64            `json:"resets"`
-	Dropped         map[string]int64 `json:"dropped"`
-	Placed          int64            `json:"placed"`
-	Exceptions      int64            `json:"exceptions"`
-	Adopted         int64            `json:"adopted"`
-	Asked           int64            `json:"asked"`
-	Fallbacks       int64            `json:"fallbacks"`
-	Copies          int64            `json:"copies"`
-	Handovers       int64            `json:"handovers"`
-	ControlBytesOut int64            `json:"controlBytesOut"`
-	ControlBytesIn  int64            `json:"controlBytesIn"`
-	DetourBytes     int64            `json:"detourBytes"`
+	Received   int64            `json:"received"`
+	Forwarded  int64            `json:"forwarded"`
+	Detoured   int64            `json:"detoured"`
+	Malformed  int64            `json:"malformed"`
+	Resets     int64            `json:"resets"`
+	Dropped    map[string]int64 `json:"dropped"`
+	Placed     int64            `json:"placed"`
+	Exceptions int64            `json:"exceptions"`
+	Adopted    int64            `json:"adopted"`
+	Asked      int64            `json:"asked"`
+	Fallbacks  int64            `json:"fallbacks"`
+	Copies     int64            `json:"copies"`
+	Handovers  int64            `json:"handovers"`
+	// BytesOut and BytesIn count the bytes exchanged with other VMs by kind.
+	BytesOut map[string]int64 `json:"bytesOut"`
+	BytesIn  map[string]int64 `json:"bytesIn"`
 }
 
 func (d *Daemon) serveStatus(context.Context, json.RawMessage) (any, error) {
@@ -76,14 +77,28 @@
 		Malformed: p.Malformed.Load(), Resets: p.Resets.Load(), Dropped: make(map[string]int64),
 		Placed: st.Placed.Load(), Exceptions: st.Exceptions.Load(), Adopted: st.Adopted.Load(),
 		Asked: st.Asked.Load(), Fallbacks: st.Fallbacks.Load(), Copies: st.Copies.Load(), Handovers: st.Handovers.Load(),
-		DetourBytes: d.socket.DetourBytes.Load(),
+		BytesOut: make(map[string]int64), BytesIn: make(map[string]int64),
 	}
 	for r := range steering.DropReason(steering.ReasonCount) {
 		if n := p.Dropped[r].Load(); n > 0 {
 			c.Dropped[r.String()] = n
 		}
 	}
-	c.ControlBytesOut = d.socket.ControlBytesOut.Load() + d.server.BytesOut.Load() + d.pool.BytesOut.Load()
-	c.ControlBytesIn = d.socket.ControlBytesIn.Load() + d.server.BytesIn.Load() + d.pool.BytesIn.Load()
+	for k := wire.Detour; k < wire.KindCount; k++ {
+		c.BytesOut[k.String()] = d.socket.Out[k].Load()
+		c.BytesIn[k.String()] = d.socket.In[k].Load()
+	}
+	c.BytesOut["calls"], c.BytesIn["calls"] = d.pool.BytesOut.Load(), d.pool.BytesIn.Load()
 	return c
 }
+
+// ControlBytesOut returns the bytes sent to other VMs that are no packets of
+// flows.
+func (c Counters) ControlBytesOut() (n int64) {
+	for kind, bytes := range c.BytesOut {
+		if kind != wire.Detour.String() {
+			n += bytes
+		}
+	}
+	return n
+}
--- a/amaranthd/fabric/path.go
+++ b/amaranthd/fabric/path.go
@@ -233,7 +233,7 @@
 		w.p.seams.Trace(&w.pkt, act)
 	}
 	if act.Learn != 0 {
-		w.p.seams.Learn(steering.Message{To: from, Kind: steering.Learn, ID: w.pkt.ID, VNI: w.pkt.VNI, Upstream: act.Learn})
+		w.p.seams.Learn(steering.Message{To: from, Kind: steering.Learn, ID: w.pkt.ID, Upstream: act.Learn})
 	}
 	switch act.Kind {
 	case steering.Forward:
--- a/amaranthd/vm/socket.go
+++ b/amaranthd/vm/socket.go
@@ -43,13 +43,9 @@
 	seams SocketSeams
 	dir   atomic.Pointer[Directory]
 
-	// ControlBytesOut and ControlBytesIn count datagrams other than detours,
-	// with their IP and UDP headers.
-	ControlBytesOut atomic.Int64
-	ControlBytesIn  atomic.Int64
-	ControlOut      atomic.Int64
-	// DetourBytes counts detoured packets sent.
-	DetourBytes atomic.Int64
+	// Out and In count the bytes of datagrams by kind, with their IP and UDP
+	// headers.
+	Out, In [wire.KindCount]atomic.Int64
 }
 
 // NewSocket opens the peer address with buffers of the given size.
@@ -110,7 +106,9 @@
 		return
 	}
 	if kind := wire.Kind(data[0]); kind != wire.Detour {
-		s.ControlBytesIn.Add(int64(len(data) + datagramOverhead))
+		if kind < wire.KindCount {
+			s.In[kind].Add(int64(len(data) + datagramOverhead))
+		}
 		s.seams.Datagram(kind, data)
 		return
 	}
@@ -137,7 +135,7 @@
 	var buf [2048]byte
 	out := wire.AppendDetour(buf[:0], wire.DetourHeader{From: s.self, Hops: hops, Belief: belief})
 	out = append(out, data...)
-	s.DetourBytes.Add(int64(len(out)))
+	s.Out[wire.Detour].Add(int64(len(out) + datagramOverhead))
 	_, _ = s.conn.WriteToUDPAddrPort(out, vm.Peer)
 }
 
@@ -156,8 +154,7 @@
 	if err != nil {
 		return err
 	}
-	s.ControlOut.Add(1)
-	s.ControlBytesOut.Add(int64(len(data) + datagramOverhead))
+	s.Out[kind].Add(int64(len(data) + datagramOverhead))
 	_, err = s.conn.WriteToUDPAddrPort(data, to)
 	return eris.Wrap(err, "vm: send")
 }
--- a/fleet/config/parse.go
+++ b/fleet/config/parse.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"crypto/sha256"
 	_ "embed" // The schema is embedded.
+	"encoding/binary"
 	"encoding/hex"
 	"encoding/json"
 	"errors"
@@ -35,6 +36,18 @@
 	return Digest(hex.EncodeToString(sum[:16]))
 }
 
+// ShortDigest is the first half of a digest. Its order is that of the digests.
+type ShortDigest uint64
+
+// Short returns the first half of d, or zero for the empty digest.
+func (d Digest) Short() ShortDigest {
+	raw, err := hex.DecodeString(string(d))
+	if err != nil || len(raw) < 8 {
+		return 0
+	}
+	return ShortDigest(binary.BigEndian.Uint64(raw))
+}
+
 // Problem is one thing that is wrong with a file.
 type Problem struct {
 	Path   string `json:"path"`
--- a/fleet/homes/homes_test.go
+++ b/fleet/homes/homes_test.go
@@ -10,13 +10,44 @@
 	"github.com/amaranthswitch/amaranthswitch/fleet/flow"
 )
 
-func vms(n int) (list []config.VMID) {
+func vms(n int) (list []VM) {
 	for i := range n {
-		list = append(list, config.VMID(fmt.Sprintf("vm-%d", i)))
+		list = append(list, VM{ID: config.VMID(fmt.Sprintf("vm-%d", i)), Domain: config.DomainName(fmt.Sprint(i % 3))})
 	}
 	return list
 }
 
+func ids(list []VM) (names []config.VMID) {
+	for _, vm := range list {
+		names = append(names, vm.ID)
+	}
+	return names
+}
+
+// TestCopiesSurviveLoss checks that a VM with copies becomes home, whichever
+// VM or set of failure domains is lost.
+func TestCopiesSurviveLoss(t *testing.T) {
+	all := vms(12)
+	before := Build(all)
+	for lost := range 7 { // a set of failure domains, or none
+		var rest []VM
+		for _, vm := range all {
+			if d := vm.Domain[0] - '0'; lost&(1<<d) == 0 && (lost != 0 || vm.ID != "vm-5") {
+				rest = append(rest, vm)
+			}
+		}
+		after := Build(rest)
+		for b := range Buckets {
+			home := after.At(b, 0)
+			found := home == before.At(b, 0)
+			for n := range MaxCopies {
+				found = found || home == before.CopyAt(b, n)
+			}
+			assert.Assert(t, found, "bucket %d after the loss of %b", b, lost)
+		}
+	}
+}
+
 func TestRing(t *testing.T) {
 	tests := []struct{ vms, ranks int }{{0, 0}, {1, 1}, {2, 2}, {9, 3}, {470, 3}}
 	for _, test := range tests {
@@ -73,13 +104,13 @@
 	all := vms(20)
 	for key := range 50 {
 		chosen := make(map[config.VMID]bool)
-		for _, vm := range Designated(fmt.Sprint(key), all, 3) {
+		for _, vm := range Designated(fmt.Sprint(key), ids(all), 3) {
 			chosen[vm] = true
 		}
 		assert.Equal(t, len(chosen), 3)
-		for _, vm := range all {
-			assert.Equal(t, IsDesignated(fmt.Sprint(key), all, 3, vm), chosen[vm])
+		for _, vm := range ids(all) {
+			assert.Equal(t, IsDesignated(fmt.Sprint(key), ids(all), 3, vm), chosen[vm])
 		}
-		assert.Assert(t, !IsDesignated(fmt.Sprint(key), all, 30, "stranger"))
+		assert.Assert(t, !IsDesignated(fmt.Sprint(key), ids(all), 30, "stranger"))
 	}
 }
--- a/fleet/homes/view.go
+++ b/fleet/homes/view.go
@@ -18,7 +18,7 @@
 
 // NewView returns the first view of a process that starts at now. Every bucket
 // counts as changed, since others may have served it before.
-func NewView(now clock.Millis, vms []config.VMID) *View {
+func NewView(now clock.Millis, vms []VM) *View {
 	v := &View{
 		ring:    Build(vms),
 		past:    make([][PastHomes]config.VMID, Buckets),
@@ -31,7 +31,7 @@
 }
 
 // Advance returns the view after the set of VMs became vms at now.
-func (v *View) Advance(now clock.Millis, vms []config.VMID) *View {
+func (v *View) Advance(now clock.Millis, vms []VM) *View {
 	next := &View{
 		ring:    Build(vms),
 		past:    append([][PastHomes]config.VMID(nil), v.past...),
@@ -70,8 +70,19 @@
 // Home returns the VM that places the flow, or the empty identifier.
 func (v *View) Home(id flow.ID) config.VMID { return v.ring.At(BucketOf(id), 0) }
 
-// Second returns the VM that keeps copies for the flow's home.
-func (v *View) Second(id flow.ID) config.VMID { return v.ring.At(BucketOf(id), 1) }
+// Copy returns the n-th VM that keeps copies for the flow's home, 0 to
+// MaxCopies-1, or the empty identifier.
+func (v *View) Copy(id flow.ID, n int) config.VMID { return v.ring.CopyAt(BucketOf(id), n) }
+
+// Woke returns the view of a process that stood still until now. Every bucket
+// counts as changed, since others may have served it meanwhile.
+func (v *View) Woke(now clock.Millis) *View {
+	next := &View{ring: v.ring, past: v.past, changed: make([]clock.Millis, Buckets)}
+	for b := range next.changed {
+		next.changed[b] = now
+	}
+	return next
+}
 
 // Rank returns the VM of rank n for the flow, 0 to Ranks-1.
 func (v *View) Rank(id flow.ID, n int) config.VMID { return v.ring.At(BucketOf(id), n) }
--- a/fleet/lookup/history.go
+++ b/fleet/lookup/history.go
@@ -66,3 +66,11 @@
 	}
 	return false
 }
+
+// ChangedAt returns when the current table replaced another, or zero.
+func (h *History) ChangedAt() clock.Millis {
+	if len(h.past) == 0 {
+		return 0
+	}
+	return h.past[0].until
+}
--- a/fleet/membership/list.go
+++ b/fleet/membership/list.go
@@ -80,7 +80,7 @@
 	state       State
 	home        bool
 	version     config.Version
-	digest      config.Digest
+	digest      config.ShortDigest
 
 	seq     uint64
 	probes  map[uint64]*probe
@@ -114,6 +114,9 @@
 	}
 }
 
+// LastProbe returns the number of the last probe sent.
+func (l *List) LastProbe() uint64 { return l.seq }
+
 // Leave tells others that this VM is about to stop.
 func (l *List) Leave() {
 	l.state, l.home = Leaving, false
@@ -122,7 +125,7 @@
 }
 
 // SetConfig sets the version and digest that probes carry.
-func (l *List) SetConfig(v config.Version, d config.Digest) { l.version, l.digest = v, d }
+func (l *List) SetConfig(v config.Version, d config.ShortDigest) { l.version, l.digest = v, d }
 
 // Listed takes a new list of the platform. A VM that is no longer listed is
 // forgotten only once it no longer answers, since the list lags.
@@ -344,6 +347,7 @@
 	if m == nil || msg.Self.ID != msg.From {
 		return nil, false
 	}
+	l.changed = l.changed || m.heard == 0
 	m.heard = now
 	l.learn(now, msg.Self)
 	for _, u := range msg.Updates {
--- a/fleet/membership/membership_test.go
+++ b/fleet/membership/membership_test.go
@@ -188,3 +188,17 @@
 	t.Logf("messages a second and VM: %.1f with 9 VMs, %.1f with 60", small, large)
 	assert.Assert(t, large < 1.3*small)
 }
+
+// TestFirstWordIsAChange has a VM hear of another before it hears from it.
+func TestFirstWordIsAChange(t *testing.T) {
+	lines := []VM{{ID: "a0", Domain: "a"}, {ID: "a1", Domain: "a"}, {ID: "a2", Domain: "a"}}
+	l := New(1, lines[0], DefaultTimers(), 1)
+	l.Listed(1, lines)
+	about := Update{ID: "a2", Incarnation: 5, State: Alive, Home: true}
+	_, ok := l.Receive(2, Message{Kind: Ping, From: "a1", Self: Update{ID: "a1", Incarnation: 5, State: Alive}, Updates: []Update{about}})
+	assert.Assert(t, ok && l.Changed())
+	assert.Assert(t, !l.Snapshot()[2].Reachable)
+	_, ok = l.Receive(3, Message{Kind: Ping, From: "a2", Self: about})
+	assert.Assert(t, ok && l.Changed(), "the first message of a VM that was known by hearsay changed nothing")
+	assert.Assert(t, l.Snapshot()[2].Reachable)
+}
--- a/fleet/membership/message.go
+++ b/fleet/membership/message.go
@@ -71,7 +71,7 @@
 	Self    Update
 	Updates []Update
 	Version config.Version
-	Digest  config.Digest
+	Digest  config.ShortDigest
 }
 
 // Send is a message on its way out.
--- a/fleet/rollout/gate.go
+++ b/fleet/rollout/gate.go
@@ -35,21 +35,21 @@
 }
 
 // follows reports whether a file replaces the one in force.
-func follows(v config.Version, d config.Digest, inForce *Candidate) bool {
+func follows(v config.Version, d config.ShortDigest, inForce *Candidate) bool {
 	if inForce == nil {
 		return true
 	}
 	if v != inForce.File.Version {
 		return v > inForce.File.Version
 	}
-	return d > inForce.Digest
+	return d > inForce.Digest.Short()
 }
 
 // Gate holds the configuration in force. It is not safe for concurrent use.
 type Gate struct {
 	inForce *Candidate
 	kept    *Candidate
-	refused config.Digest
+	refused config.ShortDigest
 	openAt  clock.Millis
 	open    bool
 }
@@ -62,7 +62,7 @@
 func (g *Gate) InForce() *Candidate { return g.inForce }
 
 // Wants reports whether a body with this version and digest is worth fetching.
-func (g *Gate) Wants(v config.Version, d config.Digest) bool {
+func (g *Gate) Wants(v config.Version, d config.ShortDigest) bool {
 	if v == 0 || d == g.refused {
 		return false
 	}
@@ -78,12 +78,12 @@
 	}
 	f, err := config.Parse(body)
 	if err != nil {
-		g.refused = digest
+		g.refused = digest.Short()
 		return Invalid, err
 	}
 	c := &Candidate{File: f, Body: body, Digest: digest}
 	if !fromPeer && !g.open && now < g.openAt {
-		if follows(f.Version, digest, g.kept) {
+		if follows(f.Version, digest.Short(), g.kept) {
 			g.kept = c
 		}
 		return Waiting, nil
@@ -93,7 +93,7 @@
 
 func (g *Gate) take(c *Candidate) Outcome {
 	same := g.inForce != nil && c.File.Version == g.inForce.File.Version
-	if !follows(c.File.Version, c.Digest, g.inForce) {
+	if !follows(c.File.Version, c.Digest.Short(), g.inForce) {
 		if same {
 			return Conflict
 		}
--- a/fleet/steering/engine.go
+++ b/fleet/steering/engine.go
@@ -21,6 +21,8 @@
 	// LearnAfter is the number of packets after which a detouring VM is told
 	// where a flow is.
 	LearnAfter uint8 `json:"learnAfter"`
+	// LearnsPerSecond bounds how often VMs are told where a flow is.
+	LearnsPerSecond int `json:"learnsPerSecond"`
 	// RefreshMillis is the time between packets of a cached flow that pass
 	// the home.
 	RefreshMillis clock.Millis `json:"refreshMillis"`
@@ -55,7 +57,8 @@
 func DefaultLimits() Limits {
 	return Limits{
 		LoadSlack:        0.03,
-		LearnAfter:       4,
+		LearnAfter:       16,
+		LearnsPerSecond:  25,
 		RefreshMillis:    45 * clock.Second,
 		CacheIdleMillis:  45 * clock.Second,
 		LingerMillis:     60 * clock.Second,
@@ -65,9 +68,9 @@
 		SettleMillis:     5 * clock.Second,
 		MidSettleMillis:  60 * clock.Second,
 		AskTimeoutMillis: 150,
-		CopyAfterMillis:  2 * clock.Second,
+		CopyAfterMillis:  clock.Second,
 		CopyRepeatMillis: 300 * clock.Second,
-		CopiesPerSecond:  200,
+		CopiesPerSecond:  80,
 		MaxFlows:         1 << 20,
 	}
 }
@@ -116,6 +119,7 @@
 	flows   atomic.Int64
 	scanned int
 	credit  float64
+	learns  atomic.Int64
 	tickAt  clock.Millis
 
 	outMu    sync.Mutex
@@ -171,7 +175,7 @@
 		e.shards[i].pending = make(map[flow.ID]*pending)
 	}
 	e.routes.Store(&routes{})
-	e.members.Store(&members{view: homes.NewView(now, []config.VMID{self}), live: map[config.VMID]bool{self: true}})
+	e.members.Store(&members{view: homes.NewView(now, []homes.VM{{ID: self}}), live: map[config.VMID]bool{self: true}})
 	return e
 }
 
@@ -195,7 +199,7 @@
 // Membership is a change of the VMs that an engine knows.
 type Membership struct {
 	// Homes are the VMs that may be home of flows.
-	Homes []config.VMID
+	Homes []homes.VM
 	// Live are all VMs that answer, the leaving ones and self included.
 	Live []config.VMID
 	// Unusable are live VMs that self cannot reach directly.
@@ -211,7 +215,7 @@
 	defer e.setMu.Unlock()
 	old := e.members.Load()
 	next := &members{view: old.view, live: setOf(m.Live), unusable: setOf(m.Unusable), listed: m.Listed}
-	if !sameVMs(old.view.Ring(), m.Homes) {
+	if !old.view.Ring().Holds(m.Homes) {
 		next.view = old.view.Advance(now, m.Homes)
 	}
 	e.members.Store(next)
@@ -225,17 +229,16 @@
 	return set
 }
 
-func sameVMs(r *homes.Ring, vms []config.VMID) bool {
-	if r.Len() != len(vms) {
-		return false
-	}
-	have := setOf(r.VMs())
-	for _, vm := range vms {
-		if !have[vm] {
-			return false
-		}
-	}
-	return true
+// Woke tells the engine that the process stood still until now, so that other
+// VMs may have acted in its place. Packets that waited are discarded, since
+// their senders have sent them again.
+func (e *Engine) Woke(now clock.Millis) {
+	e.setMu.Lock()
+	defer e.setMu.Unlock()
+	next := *e.members.Load()
+	next.view = next.view.Woke(now)
+	e.members.Store(&next)
+	e.discardPending()
 }
 
 // shortHash identifies a VM within an entry.
--- a/fleet/steering/handle.go
+++ b/fleet/steering/handle.go
@@ -144,7 +144,7 @@
 	}
 	for vm := range m.live {
 		if vm != e.self {
-			e.send(Message{To: vm, Kind: Learn, ID: p.ID, VNI: s.vni, Upstream: u.ID})
+			e.send(Message{To: vm, Kind: Learn, ID: p.ID, Upstream: u.ID})
 		}
 	}
 	return e.continueFlow(now, e.insert(now, sh, p, u), p)
@@ -153,7 +153,7 @@
 // continueFlow forwards a packet of a flow that this VM is home of.
 func (e *Engine) continueFlow(now clock.Millis, en *entry, p *Packet) Action {
 	e.touch(now, en, p)
-	en.flags &^= flagCopy
+	en.flags = en.flags&^flagCopy | flagOwned
 	if !en.client16(p.Src.Addr()) {
 		en.setClient(p)
 	}
@@ -166,13 +166,22 @@
 	if !en.is(flagClosing) {
 		en.count()
 	}
-	goesOn := en.is(flagEstablished) && en.packets >= e.limits.LearnAfter
-	if p.From != "" && p.Belief != en.up.ID && (goesOn || p.Belief != 0) {
+	if p.From != "" && e.teaches(en, p) {
 		act.Learn = en.up.ID
 	}
 	return act
 }
 
+// teaches reports whether the VM that detoured the packet is told where the
+// flow is: always if it believes wrongly, and within the permitted rate if the
+// flow goes on.
+func (e *Engine) teaches(en *entry, p *Packet) bool {
+	if p.Belief != 0 {
+		return p.Belief != en.up.ID
+	}
+	return en.is(flagEstablished) && en.packets >= e.limits.LearnAfter && e.learns.Add(-1) >= 0
+}
+
 // insert adds an entry for the packet's flow. The caller checked the room.
 func (e *Engine) insert(now clock.Millis, sh *shard, p *Packet, u *Upstream) *entry {
 	at := e.seconds(now)
--- a/fleet/steering/packet.go
+++ b/fleet/steering/packet.go
@@ -101,7 +101,8 @@
 	Handover
 )
 
-// Message is a statement about one flow for another VM.
+// Message is a statement about one flow for another VM. VNI is set in an Ask
+// and an Answer; for the others it follows from the upstream.
 type Message struct {
 	To       config.VMID
 	Kind     MessageKind
--- a/fleet/steering/pending.go
+++ b/fleet/steering/pending.go
@@ -12,6 +12,9 @@
 const (
 	// maxPending bounds the flows that wait for answers.
 	maxPending = 8192
+	// copyWindowMillis is the time in which a home copies the exceptions that
+	// a change of the table makes, with the time to find the home's loss.
+	copyWindowMillis = 10 * clock.Second
 	// maxAsked bounds the VMs asked about one flow.
 	maxAsked = 8
 )
@@ -26,12 +29,25 @@
 	ambiguous := len(options) > 1
 	if ambiguous || now-m.view.ChangedAt(p.ID) < e.limits.MidSettleMillis {
 		recent := now-m.view.ChangedAt(p.ID) < e.limits.SettleMillis
-		wide := ambiguous || recent || e.lostHome(m, p.ID)
+		_, lost := e.lostHome(now, m, p.ID)
+		wide := ambiguous || recent || lost
 		if act, asked := e.ask(now, sh, s, m, p, false, wide); asked {
 			return act
 		}
 	}
-	return e.fallBack(now, sh, p, options)
+	return e.fallBack(now, sh, p, e.likeliest(now, s, m, p.ID, options))
+}
+
+// likeliest puts the earlier pick of the table first if the flow's home was
+// lost so shortly after a change of the table that it had no time to copy the
+// flows that the change made exceptions.
+func (e *Engine) likeliest(now clock.Millis, s *service, m *members, id flow.ID, options []*Upstream) []*Upstream {
+	at, lost := e.lostHome(now, m, id)
+	after := at - s.history.ChangedAt()
+	if len(options) > 1 && lost && after >= 0 && after < copyWindowMillis {
+		options[0] = options[1]
+	}
+	return options
 }
 
 // options returns the upstreams that the table had for the flow and that may
@@ -46,14 +62,18 @@
 	return list
 }
 
-// lostHome reports whether an earlier home of the flow no longer answers.
-func (e *Engine) lostHome(m *members, id flow.ID) bool {
+// lostHome reports whether the home of the flow, for which this VM acts, or an
+// earlier one does not answer, and since when.
+func (e *Engine) lostHome(now clock.Millis, m *members, id flow.ID) (since clock.Millis, lost bool) {
+	if home := m.view.Home(id); home != e.self && home != "" && !m.usable(home) {
+		return now, true
+	}
 	for _, vm := range m.view.Past(id) {
 		if vm != "" && !m.live[vm] {
-			return true
+			return m.view.ChangedAt(id), true
 		}
 	}
-	return false
+	return 0, false
 }
 
 // fallBack forwards a packet of a flow that nobody knows to the upstream that
@@ -119,7 +139,11 @@
 
 // Receive handles a message from another VM.
 func (e *Engine) Receive(now clock.Millis, from config.VMID, msg Message) {
-	s := e.routes.Load().services[msg.VNI]
+	r := e.routes.Load()
+	if u := r.byID[msg.Upstream]; u != nil && msg.Kind != Ask && msg.Kind != Answer {
+		msg.VNI = u.VNI
+	}
+	s := r.services[msg.VNI]
 	if s == nil {
 		if msg.Kind == Ask {
 			e.send(Message{To: from, Kind: Answer, ID: msg.ID, VNI: msg.VNI})
@@ -183,7 +207,7 @@
 		e.release(Release{ID: id, Discard: true, Reason: Unresolved})
 		return
 	}
-	e.fallBack(now, sh, p, options)
+	e.fallBack(now, sh, p, e.likeliest(now, s, e.members.Load(), id, options))
 	e.release(Release{ID: id})
 }
 
--- a/fleet/steering/shard.go
+++ b/fleet/steering/shard.go
@@ -27,6 +27,8 @@
 	flagClosing
 	// flagCopy marks an entry held for another VM that is the flow's home.
 	flagCopy
+	// flagOwned marks a flow that this VM was home of when it last decided.
+	flagOwned
 	// flagReset marks a flow whose caller got an unprompted reset.
 	flagReset
 )
@@ -41,7 +43,7 @@
 	seen    uint32
 	since   uint32
 	synced  uint32
-	home    uint32 // short hash of the home of the last refresh or copy
+	home    uint32 // short hash of the home that was last told of the flow
 	packets uint8
 	flags   entryFlags
 }
--- a/fleet/steering/steering_test.go
+++ b/fleet/steering/steering_test.go
@@ -12,6 +12,7 @@
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
 	"github.com/amaranthswitch/amaranthswitch/fleet/config"
 	"github.com/amaranthswitch/amaranthswitch/fleet/flow"
+	"github.com/amaranthswitch/amaranthswitch/fleet/homes"
 	"github.com/amaranthswitch/amaranthswitch/fleet/packet"
 )
 
@@ -68,10 +69,18 @@
 // join tells all engines of all others.
 func (r *rig) join() {
 	for _, e := range r.engines {
-		e.SetMembers(r.now, Membership{Homes: r.vms, Live: r.vms, Listed: r.vms})
+		e.SetMembers(r.now, Membership{Homes: ring(r.vms), Live: r.vms, Listed: r.vms})
 	}
 }
 
+// ring spreads VMs over three failure domains.
+func ring(vms []config.VMID) (list []homes.VM) {
+	for _, vm := range vms {
+		list = append(list, homes.VM{ID: vm, Domain: config.DomainName(fmt.Sprint(vm[len(vm)-1] % 3))})
+	}
+	return list
+}
+
 // remove ends an engine, after a handover if it is planned.
 func (r *rig) remove(vm config.VMID, planned bool) {
 	var rest []config.VMID
@@ -84,7 +93,7 @@
 	if planned {
 		live := append([]config.VMID{vm}, rest...)
 		for _, e := range r.engines {
-			e.SetMembers(r.now, Membership{Homes: rest, Live: live, Listed: rest})
+			e.SetMembers(r.now, Membership{Homes: ring(rest), Live: live, Listed: rest})
 		}
 		for _, m := range r.engines[vm].HandOver() {
 			r.engines[m.To].Receive(r.now, vm, m)
@@ -180,7 +189,7 @@
 	for range 10 {
 		act := r.engines[vm].Handle(r.now, &p)
 		if act.Learn != 0 {
-			r.engines[p.From].Receive(r.now, vm, Message{Kind: Learn, ID: f.id, VNI: testVNI, Upstream: act.Learn})
+			r.engines[p.From].Receive(r.now, vm, Message{Kind: Learn, ID: f.id, Upstream: act.Learn})
 		}
 		switch act.Kind {
 		case Detour:
@@ -274,6 +283,14 @@
 		{"VM joins", func(r *rig) { r.start("vmX"); r.join() }},
 		{"upstream drains and VM leaves at once", func(r *rig) { drain(r); r.remove("vm3", true) }},
 		{"upstream drains, then VM dies", func(r *rig) { drain(r); r.advance(30 * clock.Second); r.remove("vm3", false) }},
+		{"VM dies as an upstream drains", func(r *rig) { drain(r); r.remove("vm3", false) }},
+		{"a failure domain of VMs dies", func(r *rig) {
+			for _, vm := range append([]config.VMID(nil), r.vms...) {
+				if vm[2]%3 == 0 {
+					r.remove(vm, false)
+				}
+			}
+		}},
 		{"every VM is replaced", func(r *rig) {
 			for _, vm := range append([]config.VMID(nil), r.vms...) {
 				r.remove(vm, true)
@@ -550,3 +567,22 @@
 		})
 	}
 }
+
+func TestWokeDiscardsWhatWaited(t *testing.T) {
+	r := newRig(t, 3, 4, 10)
+	e := r.engines["vm0"]
+	e.Woke(r.now) // asks before it places
+	f := r.newFlow()
+	for e.members.Load().view.Home(f.id) != "vm0" {
+		f = r.newFlow()
+	}
+	p := Packet{Info: packet.Info{VNI: testVNI, ID: f.id, TCP: true, Flags: packet.SYN, Src: f.src, Dst: netip.AddrPortFrom(r.file.Services[0].Address, 443)}}
+	assert.Equal(t, e.Handle(r.now, &p).Kind, Hold)
+	r.now += 10 * clock.Second
+	e.Woke(r.now)
+	e.Tick(r.now)
+	_, releases := e.Take()
+	assert.Equal(t, len(releases), 1)
+	assert.Assert(t, releases[0].Discard, "a SYN was placed after a pause")
+	assert.Equal(t, e.Flows(), int64(0))
+}
--- a/fleet/steering/tick.go
+++ b/fleet/steering/tick.go
@@ -4,16 +4,19 @@
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
 	"github.com/amaranthswitch/amaranthswitch/fleet/config"
 	"github.com/amaranthswitch/amaranthswitch/fleet/flow"
+	"github.com/amaranthswitch/amaranthswitch/fleet/homes"
 )
 
 const (
 	// shardsPerTick is the part of the table that one tick scans.
-	shardsPerTick = 4
+	shardsPerTick = 8
 	// maxResetsPerTick bounds unprompted resets.
 	maxResetsPerTick = 500
+	// handoverRepeatMillis is the time between handovers of one flow.
+	handoverRepeatMillis = 15 * clock.Second
 	// maxCredit bounds, in seconds, how much of the rate of copies a burst
 	// may use.
-	maxCredit = 2
+	maxCredit = 10
 )
 
 // Tick ends waits and silent flows, copies exceptions, and returns the resets
@@ -21,6 +24,7 @@
 func (e *Engine) Tick(now clock.Millis) (resets []ResetOrder) {
 	rate := float64(e.limits.CopiesPerSecond)
 	e.credit = min(maxCredit*rate, e.credit+rate*(now-e.tickAt).Seconds())
+	e.learns.Store(min(e.learns.Load()+max(1, int64(e.limits.LearnsPerSecond)*int64(now-e.tickAt)/int64(clock.Second)), int64(e.limits.LearnsPerSecond)))
 	e.tickAt = now
 	if e.pendings.Load() > 0 {
 		e.expirePending(now)
@@ -54,6 +58,19 @@
 	}
 }
 
+// discardPending ends all waits and discards their packets.
+func (e *Engine) discardPending() {
+	for i := range e.shards {
+		sh := &e.shards[i]
+		sh.mu.Lock()
+		for id := range sh.pending {
+			delete(sh.pending, id)
+			e.release(Release{ID: id, Discard: true, Reason: Paused})
+		}
+		sh.mu.Unlock()
+	}
+}
+
 // scan visits the flows of one shard.
 func (e *Engine) scan(now clock.Millis, sh *shard, resets []ResetOrder) []ResetOrder {
 	m, r := e.members.Load(), e.routes.Load()
@@ -100,39 +117,61 @@
 	return idle >= l.CacheIdleMillis
 }
 
-// copyException sends an exception to the VM that must know it: the second
-// home while this VM is home, the new home after it ceased to be.
+// copyException sends an exception to the VMs that must know it: those that
+// keep copies while this VM is home, or the new home after it ceased to be.
 func (e *Engine) copyException(now clock.Millis, m *members, r *routes, id flow.ID, en *entry, atHome bool) {
-	if en.is(flagClosing) || !en.is(flagEstablished) || !en.up.keeps() {
-		return
-	}
-	if !atHome && !en.is(flagCounted|flagCopy) {
+	if en.is(flagClosing) || !en.is(flagEstablished) || !en.up.keeps() || !en.is(flagOwned|flagCopy) {
 		return
 	}
 	s := r.services[en.up.VNI]
 	if s == nil || s.history.Current().Pick(id) == en.up.ID {
 		return
 	}
-	to, kind := m.view.Second(id), Copy
+	at := e.seconds(now)
 	if !atHome {
-		to, kind = m.view.Home(id), Handover
+		e.passOn(m, id, en, at)
+		return
 	}
-	at := e.seconds(now)
-	young := at-en.since < uint32(e.limits.CopyAfterMillis/clock.Second)
-	if to == "" || to == e.self || (atHome && young) || !m.usable(to) {
+	if at-en.since < uint32(e.limits.CopyAfterMillis/clock.Second) {
 		return
 	}
-	mark := shortHash(to)
+	mark := shortHash(m.view.Copy(id, 0)) ^ shortHash(m.view.Copy(id, 1)) ^ shortHash(m.view.Copy(id, 2))
 	if en.home == mark && at-en.synced < uint32(e.limits.CopyRepeatMillis/clock.Second) {
 		return
 	}
-	if !atHome && en.is(flagCopy) && en.home == mark {
+	en.home, en.synced = mark, at
+	for n := range homes.MaxCopies {
+		to := m.view.Copy(id, n)
+		switch {
+		case to == "":
+		case m.usable(to):
+			e.transfer(Message{To: to, Kind: Copy, ID: id, Upstream: en.up.ID})
+		default:
+			en.home = 0 // The next scan tries again.
+		}
+	}
+}
+
+// passOn gives an exception to the flow's present home, a few times since the
+// message may be lost.
+func (e *Engine) passOn(m *members, id flow.ID, en *entry, at uint32) {
+	to := m.view.Home(id)
+	mark := shortHash(to)
+	if to == "" || !m.usable(to) || en.is(flagCopy) && en.home == mark {
+		return
+	}
+	if en.home == mark && at-en.synced < uint32(handoverRepeatMillis/clock.Second) {
 		return
 	}
 	en.home, en.synced = mark, at
+	e.transfer(Message{To: to, Kind: Handover, ID: id, Upstream: en.up.ID})
+}
+
+// transfer sends an exception and counts it.
+func (e *Engine) transfer(m Message) {
 	e.credit--
-	e.countTransfer(kind)
-	e.send(Message{To: to, Kind: kind, ID: id, VNI: s.vni, Upstream: en.up.ID})
+	e.countTransfer(m.Kind)
+	e.send(m)
 }
 
 func (e *Engine) countTransfer(kind MessageKind) {
@@ -161,8 +200,8 @@
 }
 
 // HandOver returns every exception and every flow on an ambiguous slot that
-// this VM counts, for the homes that take over when it leaves. Each is
-// returned as a message to its next home among the given VMs.
+// this VM knows, cached ones included, since what it told others may have been
+// lost. Each is a message to the home that takes over when this VM leaves.
 func (e *Engine) HandOver() (list []Message) {
 	m, r := e.members.Load(), e.routes.Load()
 	for i := range e.shards {
@@ -181,7 +220,7 @@
 
 func (e *Engine) handOverEntry(m *members, r *routes, id flow.ID, en *entry) (msg Message, ok bool) {
 	s := r.services[en.up.VNI]
-	if s == nil || !en.up.keeps() || en.is(flagClosing) || !en.is(flagCounted|flagCopy) {
+	if s == nil || !en.up.keeps() || en.is(flagClosing) || !en.is(flagEstablished) {
 		return msg, false
 	}
 	var buf [maxAsked + 1]config.UpstreamID
@@ -193,7 +232,7 @@
 	if to == "" {
 		return msg, false
 	}
-	return Message{To: to, Kind: Handover, ID: id, VNI: s.vni, Upstream: en.up.ID}, true
+	return Message{To: to, Kind: Handover, ID: id, Upstream: en.up.ID}, true
 }
 
 // nextHome returns the first VM in rank that is not self and can be reached.
--- a/fleet/wire/wire.go
+++ b/fleet/wire/wire.go
@@ -22,8 +22,15 @@
 	Flows
 	Tally
 	Health
+	// KindCount is the number of kinds, with the zero kind.
+	KindCount
 )
 
+// String returns the kind as metrics label it.
+func (k Kind) String() string {
+	return [...]string{"none", "detour", "membership", "flows", "tally", "health"}[k]
+}
+
 // ErrDetour means that a datagram is no usable detour.
 var ErrDetour = errors.New("wire: not a detour")
 
--- a/standin/caller/flows.go
+++ b/standin/caller/flows.go
@@ -59,11 +59,26 @@
 	last   time.Time // last answer
 	waits  bool      // for an answer
 	stall  time.Duration
+	begun  time.Time
 	index  int // in the heap
 	reset  bool
 	moved  bool
 }
 
+// BrokenFlow tells how a flow broke.
+type BrokenFlow struct {
+	At     time.Time `json:"at"`
+	Source string    `json:"source"`
+	Server string    `json:"server"`
+	// Answer is the back end whose answer broke the flow, empty for a reset
+	// that names none.
+	Answer string        `json:"answer"`
+	Age    time.Duration `json:"age"`
+}
+
+// keptBroken bounds the broken flows that a Result lists.
+const keptBroken = 50
+
 // Result sums up flows.
 type Result struct {
 	Opened  int `json:"opened"`
@@ -78,6 +93,8 @@
 	Excused int `json:"excused"`
 	// LongestStall is the longest time in which an open flow got no answer.
 	LongestStall time.Duration `json:"longestStall"`
+	// FirstBroken lists the first broken flows.
+	FirstBroken []BrokenFlow `json:"firstBroken,omitempty"`
 	// ByServer counts open flows of each back end.
 	ByServer map[string]int `json:"byServer"`
 }
@@ -94,6 +111,7 @@
 	opened  int
 	closed  int
 	broken  int
+	list    []BrokenFlow
 	reset   int
 	moved   int
 	excused int
@@ -209,7 +227,7 @@
 		p.credit--
 		p.open++
 		f.opened++
-		fl := &Flow{plan: &p.Plan, src: f.nextSource(), at: now, last: now}
+		fl := &Flow{plan: &p.Plan, src: f.nextSource(), at: now, last: now, begun: now}
 		f.bySrc[fl.src] = fl
 		heap.Push(&f.queue, fl)
 	}
@@ -305,11 +323,11 @@
 	server := string(s.Payload)
 	switch {
 	case s.Flags.Has(packet.RST):
-		f.breakFlow(now, fl, true)
+		f.breakFlow(now, fl, server, true)
 	case fl.state == opening && s.Flags.Has(packet.SYN):
 		fl.state, fl.server, fl.waits = open, server, false
 	case server != fl.server:
-		f.breakFlow(now, fl, false)
+		f.breakFlow(now, fl, server, false)
 	default:
 		fl.waits = false
 	}
@@ -320,24 +338,27 @@
 	}
 }
 
-func (f *Flows) breakFlow(now time.Time, fl *Flow, reset bool) {
+func (f *Flows) breakFlow(now time.Time, fl *Flow, answer string, reset bool) {
 	if fl.state == opening {
 		return // refused, the caller tries again
 	}
 	fl.state = broken
 	fl.at = now
 	fl.waits = false
-	switch {
-	case f.excuse[fl.server]:
+	heap.Fix(&f.queue, fl.index)
+	if f.excuse[fl.server] {
 		f.excused++
-	case reset:
-		f.broken++
+		return
+	}
+	f.broken++
+	if reset {
 		f.reset++
-	default:
-		f.broken++
+	} else {
 		f.moved++
 	}
-	heap.Fix(&f.queue, fl.index)
+	if len(f.list) < keptBroken {
+		f.list = append(f.list, BrokenFlow{At: now, Source: fl.src.String(), Server: fl.server, Answer: answer, Age: now.Sub(fl.begun)})
+	}
 }
 
 // ResetStall forgets the longest stall so far.
@@ -356,7 +377,7 @@
 	defer f.mu.Unlock()
 	r := Result{
 		Opened: f.opened, Closed: f.closed, Broken: f.broken, Reset: f.reset, Moved: f.moved,
-		Excused: f.excused, LongestStall: f.stall, ByServer: make(map[string]int),
+		Excused: f.excused, FirstBroken: append([]BrokenFlow(nil), f.list...), LongestStall: f.stall, ByServer: make(map[string]int),
 	}
 	now := time.Now()
 	for _, fl := range f.queue {
