Run requests at most once, with slots leased fairly over all gateways

Cause: the gateway role did not exist. Its history under faults is checked with porcupine against a register of runs by key.

Change: claims of idempotency keys at a majority of three witnesses, slot leases from a manager in each failure domain with a queue by owner, a gateway that streams, retries within a budget, hedges and refuses truthfully; a prober of upstream health; metrics, traces, operators' server.

Conclusion: two of three witnesses keep at-most-once through all faults tried; what a cut domain cannot confirm it refuses as unknown.

--- /dev/null
+++ b/amaranthd/caller/gateway.go
@@ -0,0 +1,257 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/amaranthswitch/amaranthswitch/amaranthd/holder"
+	"github.com/amaranthswitch/amaranthswitch/amaranthd/upstream"
+	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
+	"github.com/amaranthswitch/amaranthswitch/fleet/config"
+	"github.com/amaranthswitch/amaranthswitch/fleet/retry"
+)
+
+// Seams connect a Gateway with the rest of the daemon.
+type Seams struct {
+	// Paused reports whether the process stood still and its view may be old.
+	Paused func(now clock.Millis) bool
+	// Cold takes note of an upstream that refused as not yet warm.
+	Cold func(id config.UpstreamID)
+	// Done counts a finished request.
+	Done func(service config.ServiceName, owner config.Owner, outcome string, took clock.Millis)
+	// Span begins a span and returns the function that ends it.
+	Span func(ctx context.Context, name string) (context.Context, func())
+	// Inject writes the trace context of ctx into a header.
+	Inject func(ctx context.Context, h http.Header)
+	// Extract reads the trace context of a header.
+	Extract func(ctx context.Context, h http.Header) context.Context
+}
+
+// Gateway serves the requests of callers.
+type Gateway struct {
+	clk    clock.Clock
+	log    *slog.Logger
+	holder *holder.Holder
+	client *upstream.Client
+	seams  Seams
+
+	services atomic.Pointer[map[string]*service]
+	leaving  atomic.Bool
+	server   *http.Server
+	listener net.Listener
+}
+
+// service is a service of kind request with its policies.
+type service struct {
+	conf      config.Service
+	addresses map[config.UpstreamID]string
+	unsafe    []string
+	budget    *retry.Budget
+	latency   *retry.Latency
+}
+
+// New returns a gateway that listens on address. It serves once Run is called.
+func New(ctx context.Context, address netip.AddrPort, clk clock.Clock, log *slog.Logger, h *holder.Holder, client *upstream.Client, seams Seams) (g *Gateway, cleanup func(), err error) {
+	defer func() { err = eris.Wrapf(err, "caller: listen on %s", address) }()
+	g = &Gateway{clk: clk, log: log, holder: h, client: client, seams: seams}
+	g.services.Store(&map[string]*service{})
+	var lc net.ListenConfig
+	if g.listener, err = lc.Listen(ctx, "tcp", address.String()); err != nil {
+		return nil, nil, err
+	}
+	g.server = &http.Server{Handler: g, ReadHeaderTimeout: 10 * time.Second, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
+	return g, func() { _ = g.server.Close(); _ = g.listener.Close() }, nil
+}
+
+// Run serves until the gateway is closed.
+func (g *Gateway) Run() error {
+	err := g.server.Serve(g.listener)
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		return nil
+	}
+	return eris.Wrap(err, "caller: serve")
+}
+
+// Leave refuses new requests from now on.
+func (g *Gateway) Leave() { g.leaving.Store(true) }
+
+// Drain waits for the requests under way, until ctx ends.
+func (g *Gateway) Drain(ctx context.Context) { _ = g.server.Shutdown(ctx) }
+
+// SetConfig puts a configuration in force. Budgets and latencies of services
+// that stay are kept.
+func (g *Gateway) SetConfig(f *config.File) {
+	old := *g.services.Load()
+	next := make(map[string]*service)
+	for _, s := range f.Services {
+		if s.Request == nil {
+			continue
+		}
+		sv := &service{
+			conf: s, addresses: make(map[config.UpstreamID]string),
+			unsafe: append([]string{http.MethodPost, http.MethodPatch}, s.Request.NonIdempotent...),
+			budget: retry.NewBudget(s.Request.RetryShare), latency: retry.NewLatency(),
+		}
+		if was := old[string(s.Name)]; was != nil {
+			sv.budget, sv.latency = was.budget, was.latency
+			sv.budget.SetShare(s.Request.RetryShare)
+		}
+		for i := range s.Upstreams {
+			sv.addresses[s.ID(&s.Upstreams[i])] = s.Upstreams[i].HTTPAddress
+		}
+		next[string(s.Name)], next[s.Address.String()] = sv, sv
+	}
+	g.services.Store(&next)
+}
+
+// find returns the service that a request names.
+func (g *Gateway) find(r *http.Request) *service {
+	services := *g.services.Load()
+	host := r.Host
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	if s := services[host]; s != nil {
+		return s
+	}
+	return services[r.Header.Get(ServiceHeader)]
+}
+
+// owner returns on whose behalf a request is made.
+func (s *service) owner(r *http.Request) config.Owner {
+	if h := s.conf.Request.OwnerHeader; h != "" && r.Header.Get(h) != "" {
+		return config.Owner(r.Header.Get(h))
+	}
+	from, err := netip.ParseAddrPort(r.RemoteAddr)
+	if err != nil {
+		return "unknown"
+	}
+	best := -1
+	owner := config.Owner("unknown")
+	for _, o := range s.conf.Request.Owners {
+		if o.Prefix.Contains(from.Addr().Unmap()) && o.Prefix.Bits() > best {
+			best, owner = o.Prefix.Bits(), o.Owner
+		}
+	}
+	return owner
+}
+
+// deadline returns in which time the caller needs an answer.
+func (s *service) deadline(r *http.Request) (within clock.Millis, err error) {
+	text := r.Header.Get(DeadlineHeader)
+	if text == "" {
+		return s.conf.Request.DeadlineMillis, nil
+	}
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || n <= 0 {
+		return 0, eris.Errorf("header %s: %q is not a positive number of milliseconds", DeadlineHeader, text)
+	}
+	return clock.Millis(n), nil
+}
+
+// exchange is one request of a caller on its way through the gateway.
+type exchange struct {
+	g     *Gateway
+	s     *service
+	w     http.ResponseWriter
+	r     *http.Request
+	owner config.Owner
+	end   clock.Millis
+	claim *holder.Claim
+	body  *body
+	// outcome is what is counted when the exchange ends.
+	outcome string
+}
+
+// ServeHTTP implements http.Handler.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	begin := g.clk.Now()
+	s := g.find(r)
+	if s == nil {
+		refuse(w, holder.NotRun, ReasonUnknownService, "host "+r.Host+" is no service of kind request")
+		return
+	}
+	within, err := s.deadline(r)
+	if err != nil {
+		refuse(w, holder.NotRun, ReasonBadDeadline, err.Error())
+		return
+	}
+	ctx, cancel := context.WithTimeout(g.seams.Extract(r.Context(), r.Header), within.Duration())
+	defer cancel()
+	ctx, endSpan := g.seams.Span(ctx, "gateway")
+	defer endSpan()
+	x := &exchange{g: g, s: s, w: w, r: r.WithContext(ctx), owner: s.owner(r), end: begin + within}
+	defer func() { g.seams.Done(s.conf.Name, x.owner, x.outcome, g.clk.Now()-begin) }()
+	x.serve()
+}
+
+// left returns the time until the deadline.
+func (x *exchange) left() clock.Millis { return x.end - x.g.clk.Now() }
+
+// unsafe reports whether the request must not run twice.
+func (x *exchange) unsafe() bool { return slices.Contains(x.s.unsafe, x.r.Method) }
+
+func (x *exchange) refuse(outcome holder.Outcome, reason Reason, detail string) {
+	x.outcome = string(outcome)
+	refuse(x.w, outcome, reason, detail)
+}
+
+// refuseNotRun refuses a request that did not run in this exchange. Of one with
+// a key it can be said only after the key was closed.
+func (x *exchange) refuseNotRun(reason Reason, detail string) {
+	outcome := holder.NotRun
+	if x.claim != nil {
+		if !x.claim.Close(context.WithoutCancel(x.r.Context())) {
+			outcome = holder.Unknown
+		} else {
+			x.claim.Keep(holder.Answer{Outcome: holder.NotRun})
+		}
+	}
+	x.refuse(outcome, reason, detail)
+}
+
+func (x *exchange) serve() {
+	var err error
+	if x.body, err = readBody(x.r); err != nil {
+		x.refuse(holder.NotRun, ReasonBadBody, err.Error())
+		return
+	}
+	if x.unsafe() && x.r.Header.Get(KeyHeader) != "" && !x.takeClaim() {
+		return
+	}
+	if x.g.leaving.Load() {
+		x.w.Header().Set("Connection", "close")
+		x.refuseNotRun(ReasonLeaving, "this VM is about to stop")
+		return
+	}
+	if x.g.seams.Paused(x.g.clk.Now()) {
+		x.refuseNotRun(ReasonPaused, "this VM stood still and is catching up")
+		return
+	}
+	x.run()
+}
+
+// hedging waits for nothing if the service does not hedge.
+type hedging struct {
+	after time.Duration
+	on    bool
+}
+
+func (x *exchange) hedging() (h hedging) {
+	q := x.s.conf.Request.HedgeAfterQuantile
+	if q == 0 || x.unsafe() || x.r.Method != http.MethodGet && x.r.Method != http.MethodHead {
+		return h
+	}
+	after, known := x.s.latency.Quantile(q)
+	return hedging{after: after.Duration(), on: known}
+}
--- a/amaranthd/daemon/control.go
+++ b/amaranthd/daemon/control.go
@@ -59,9 +59,13 @@
 	bodies  []*rollout.Candidate
 
 	// lastTick and resyncUntil guard the data path after a pause.
+	started     clock.Millis
 	lastTick    atomic.Int64
 	resyncUntil atomic.Int64
 
+	// joined tells that another VM told of all VMs, or that none answers.
+	joined atomic.Bool
+
 	// snapshot is the last known state of all VMs.
 	snapshot atomic.Pointer[[]membership.Peer]
 	inForce  atomic.Pointer[rollout.Candidate]
@@ -69,6 +73,11 @@
 	// OnConfig and OnMembers are called after a change, with mu held.
 	OnConfig  []func(now clock.Millis, f *config.File)
 	OnMembers []func(now clock.Millis, peers []membership.Peer)
+	OnListed  []func(now clock.Millis, vms []membership.VM)
+	// coldReported takes a report that an upstream refused as not yet warm.
+	coldReported func(config.UpstreamID)
+	// daemon is set once the daemon is built.
+	daemon atomic.Pointer[Daemon]
 
 	// flushMu guards release and the injector.
 	flushMu  sync.Mutex
@@ -84,15 +93,23 @@
 		board: tally.NewBoard(tally.Peer{ID: set.VM, Domain: set.Domain}, set.Tally),
 		gate:  rollout.NewGate(now, set.Timers.PatienceMillis),
 	}
+	c.started = now
 	c.lastTick.Store(int64(now))
 	empty := c.list.Snapshot()
 	c.snapshot.Store(&empty)
-	if len(set.Seeds) > 0 {
-		c.setListed(now, set.Seeds)
-	}
 	return c
 }
 
+// start takes the seeds, once all parts are connected.
+func (c *Control) start() {
+	if len(c.set.Seeds) == 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.setListed(c.clk.Now(), c.set.Seeds)
+}
+
 // attach gives the control its data path.
 func (c *Control) attach(p *fabric.Path) {
 	c.path = p
@@ -100,9 +117,17 @@
 }
 
 // paused reports whether the data path may not forward, because the process
-// stood still and its state may be old.
+// stood still and its state may be old, or just started and does not know the
+// other homes.
 func (c *Control) paused(now clock.Millis) bool {
-	return now-clock.Millis(c.lastTick.Load()) > c.set.Timers.PauseMillis || int64(now) < c.resyncUntil.Load()
+	return !c.joined.Load() || now-clock.Millis(c.lastTick.Load()) > c.set.Timers.PauseMillis || int64(now) < c.resyncUntil.Load()
+}
+
+// ready reports whether the fabric may send packets to this VM.
+func (c *Control) ready() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.gate.InForce() != nil && !c.leaving && !c.paused(c.clk.Now())
 }
 
 // run ticks until ctx ends.
@@ -159,6 +184,9 @@
 
 // tick runs the timers of membership, sums and configuration.
 func (c *Control) tick(ctx context.Context, now clock.Millis) {
+	if !c.joined.Load() && now-c.started >= 2*c.set.Timers.PatienceMillis {
+		c.joined.Store(true)
+	}
 	c.mu.Lock()
 	probes := c.list.Tick(now)
 	if c.gate.Tick(now) {
@@ -185,6 +213,10 @@
 func (c *Control) setListed(now clock.Millis, vms []membership.VM) {
 	c.listed = vms
 	c.list.Listed(now, vms)
+	c.engine.SetGateways(now, gateways(vms))
+	for _, f := range c.OnListed {
+		f(now, vms)
+	}
 	for _, line := range vms {
 		if line.ID == c.set.VM && line.Leaving && !c.leaving {
 			c.list.SetHome(false)
@@ -192,6 +224,21 @@
 	}
 }
 
+// gateways lists the VMs that take flows of services of kind request.
+func gateways(vms []membership.VM) (list []config.Upstream) {
+	for _, line := range vms {
+		if !line.GatewayTunnel.IsValid() {
+			continue
+		}
+		u := config.Upstream{Name: config.UpstreamName(line.ID), Domain: line.Domain, Address: line.GatewayTunnel.String(), State: config.UpstreamActive}
+		if line.Leaving {
+			u.State = config.UpstreamDrain
+		}
+		list = append(list, u)
+	}
+	return list
+}
+
 // changeDue reports whether it is time to act on changes of the membership.
 // Changes that follow each other closely are taken together, since each moves
 // homes. The caller holds mu.
--- a/amaranthd/daemon/daemon.go
+++ b/amaranthd/daemon/daemon.go
@@ -9,9 +9,14 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/dig"
 
+	"github.com/amaranthswitch/amaranthswitch/amaranthd/caller"
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/fabric"
+	"github.com/amaranthswitch/amaranthswitch/amaranthd/holder"
+	"github.com/amaranthswitch/amaranthswitch/amaranthd/operator"
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/platform"
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/settings"
+	"github.com/amaranthswitch/amaranthswitch/amaranthd/tracing"
+	"github.com/amaranthswitch/amaranthswitch/amaranthd/upstream"
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/vm"
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
 	"github.com/amaranthswitch/amaranthswitch/fleet/config"
@@ -29,6 +34,9 @@
 	server   *vm.Server
 	pool     *vm.Pool
 	platform *platform.Client
+	holder   *holder.Holder
+	prober   *upstream.Prober
+	gateway  *caller.Gateway
 
 	platformDown atomic.Bool
 }
@@ -84,6 +92,11 @@
 	provide(providePlatform)
 	provide(newControl)
 	provide(providePath)
+	provide(provideTracer)
+	provide(provideOperator)
+	provide(provideHolder)
+	provide(provideProber)
+	provide(provideGateway)
 	provide(newDaemon)
 	if err == nil {
 		err = c.Invoke(func(built *Daemon) { d = built })
@@ -135,7 +148,7 @@
 	return c
 }
 
-func providePath(ctx context.Context, set *settings.Settings, engine *steering.Engine, control *Control, socket *vm.Socket, clk clock.Clock, clean *cleanups) (*fabric.Path, error) {
+func providePath(ctx context.Context, set *settings.Settings, engine *steering.Engine, control *Control, socket *vm.Socket, clk clock.Clock, tracer *tracing.Tracer, clean *cleanups) (*fabric.Path, error) {
 	seams := fabric.Seams{
 		Now:        clk.Now,
 		Paused:     control.paused,
@@ -143,6 +156,9 @@
 		Learn:      engine.Queue,
 		Flush:      control.flushUrgent,
 	}
+	if set.TraceFile != "" {
+		seams.Trace = tracer.Packet
+	}
 	p, cleanup, err := fabric.New(ctx, engine, set.Tunnel, set.FabricReply, seams,
 		fabric.WithWorkers(set.Workers), fabric.WithSocketBuffers(set.SocketBufferBytes))
 	if err == nil {
@@ -152,14 +168,49 @@
 	return p, err
 }
 
-func newDaemon(control *Control, engine *steering.Engine, path *fabric.Path, socket *vm.Socket, server *vm.Server, pool *vm.Pool, client *platform.Client) *Daemon {
+// provideOperator starts the operators' server, which shows the daemon once it
+// is built.
+func provideOperator(ctx context.Context, set *settings.Settings, control *Control, clean *cleanups) (*operator.Server, error) {
+	status := func() any {
+		if d := control.daemon.Load(); d != nil {
+			return d.Status()
+		}
+		return nil
+	}
+	s, cleanup, err := operator.Start(ctx, set.Operator, status, control.ready)
+	if err == nil {
+		clean.add(cleanup)
+	}
+	return s, err
+}
+
+// parts are what a Daemon is made of.
+type parts struct {
+	dig.In
+
+	Control  *Control
+	Engine   *steering.Engine
+	Path     *fabric.Path
+	Socket   *vm.Socket
+	Server   *vm.Server
+	Pool     *vm.Pool
+	Platform *platform.Client
+	Holder   *holder.Holder
+	Prober   *upstream.Prober
+	Gateway  *caller.Gateway
+	Operator *operator.Server
+}
+
+func newDaemon(p parts) *Daemon {
 	d := &Daemon{
-		control: control, engine: engine, path: path,
-		socket: socket, server: server, pool: pool, platform: client,
+		control: p.Control, engine: p.Engine, path: p.Path, socket: p.Socket, server: p.Server, pool: p.Pool,
+		platform: p.Platform, holder: p.Holder, prober: p.Prober, gateway: p.Gateway,
 	}
-	server.Handle(vm.GetConfig, control.serveConfig)
-	server.Handle(vm.HandOver, control.serveHandOver)
-	server.Handle(vm.GetStatus, d.serveStatus)
+	p.Server.Handle(vm.GetConfig, p.Control.serveConfig)
+	p.Server.Handle(vm.HandOver, p.Control.serveHandOver)
+	p.Server.Handle(vm.GetStatus, d.serveStatus)
+	p.Control.daemon.Store(d)
+	d.registerMetrics(p.Operator)
 	return d
 }
 
@@ -193,17 +244,34 @@
 	go func() { ended <- c.run(work) }()
 	go func() { ended <- d.watch(work, platform.ConfigKey, c.watches, c.published) }()
 	go func() { ended <- d.watch(work, platform.VMsKey, always, c.listPublished) }()
+	go func() { ended <- d.holder.Run(work) }()
+	go func() { ended <- d.prober.Run(work) }()
+	go func() { ended <- d.gateway.Run() }()
+	go d.recoverClaims(work)
+	c.start()
 	event.Log(ctx, c.log, event.DaemonStarted, slog.String("tunnel", c.set.Tunnel.String()))
 	select {
 	case err = <-ended:
 	case <-ctx.Done():
-		c.leave(work)
+		d.leave(work)
 	}
 	event.Log(work, c.log, event.DaemonStopped)
 	return err
 }
 
-func (d *Daemon) parts() int { return d.control.set.Workers + 4 }
+// parts returns the number of goroutines that report their end.
+func (d *Daemon) parts() int { return d.control.set.Workers + 7 }
+
+// leave refuses new requests, hands all over, and ends once the requests under
+// way have their answers.
+func (d *Daemon) leave(ctx context.Context) {
+	d.gateway.Leave()
+	d.control.leave(ctx)
+	drain, cancel := context.WithTimeout(ctx, d.control.set.Timers.DrainMillis.Duration())
+	defer cancel()
+	d.gateway.Drain(drain)
+	d.holder.Leave(ctx)
+}
 
 func always() bool { return true }
 
--- a/amaranthd/daemon/health.go
+++ b/amaranthd/daemon/health.go
@@ -22,6 +22,8 @@
 	ID      config.UpstreamID
 	Verdict warmup.Verdict
 	Cold    clock.Millis
+	// Refused reports a refusal instead of a verdict.
+	Refused bool
 }
 
 func (c *Control) receiveHealth(now clock.Millis, b HealthBatch) {
@@ -29,6 +31,10 @@
 		return
 	}
 	for _, item := range b.Items {
+		if item.Refused {
+			c.coldReported(item.ID)
+			continue
+		}
 		c.engine.SetVerdict(now, item.ID, item.Verdict)
 		if item.Cold >= 0 {
 			c.engine.SetRamp(item.ID, now-item.Cold)
--- /dev/null
+++ b/amaranthd/daemon/requests.go
@@ -0,0 +1,123 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"github.com/amaranthswitch/amaranthswitch/amaranthd/caller"
+	"github.com/amaranthswitch/amaranthswitch/amaranthd/holder"
+	"github.com/amaranthswitch/amaranthswitch/amaranthd/operator"
+	"github.com/amaranthswitch/amaranthswitch/amaranthd/settings"
+	"github.com/amaranthswitch/amaranthswitch/amaranthd/tracing"
+	"github.com/amaranthswitch/amaranthswitch/amaranthd/upstream"
+	"github.com/amaranthswitch/amaranthswitch/amaranthd/vm"
+	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
+	"github.com/amaranthswitch/amaranthswitch/fleet/config"
+	"github.com/amaranthswitch/amaranthswitch/fleet/event"
+	"github.com/amaranthswitch/amaranthswitch/fleet/membership"
+	"github.com/amaranthswitch/amaranthswitch/fleet/steering"
+	"github.com/amaranthswitch/amaranthswitch/fleet/warmup"
+)
+
+// recoverTries bounds how often a starting daemon looks for a neighbour that
+// keeps the claims of its earlier process.
+const (
+	recoverTries = 30
+	recoverPause = 100 * time.Millisecond
+)
+
+func provideHolder(set *settings.Settings, clk clock.Clock, log *slog.Logger, pool *vm.Pool, server *vm.Server, control *Control, engine *steering.Engine) *holder.Holder {
+	timers := holder.Timers{CallMillis: set.Timers.ClaimMillis, LeaseMillis: set.Timers.SlotLeaseMillis}
+	h := holder.New(set.VM, set.Domain, clk, log, pool, server, timers, holder.Seams{
+		Slots: func(now clock.Millis, id config.UpstreamID, full int) (int, bool) {
+			return engine.Ramp(id).Slots(now, full), engine.Verdict(id) != warmup.Unhealthy
+		},
+		Paused: control.paused,
+	})
+	control.OnConfig = append(control.OnConfig, h.SetConfig)
+	control.OnMembers = append(control.OnMembers, h.SetMembers)
+	control.OnListed = append(control.OnListed, h.SetListed)
+	return h
+}
+
+func provideProber(set *settings.Settings, clk clock.Clock, control *Control, clean *cleanups) *upstream.Prober {
+	p, cleanup := upstream.NewProber(set.VM, set.Domain, clk, set.Timers.HealthMillis, control.verdictChanged)
+	clean.add(cleanup)
+	control.OnConfig = append(control.OnConfig, func(_ clock.Millis, f *config.File) { p.SetConfig(f) })
+	control.OnMembers = append(control.OnMembers, func(_ clock.Millis, peers []membership.Peer) {
+		p.SetNear(near(peers, set.Domain))
+	})
+	control.coldReported = p.Refused
+	return p
+}
+
+// near lists the living VMs of a failure domain.
+func near(peers []membership.Peer, d config.DomainName) (list []config.VMID) {
+	for _, p := range peers {
+		if p.Domain == d && p.State == membership.Alive && p.Reachable {
+			list = append(list, p.ID)
+		}
+	}
+	return list
+}
+
+func provideGateway(ctx context.Context, set *settings.Settings, clk clock.Clock, log *slog.Logger, h *holder.Holder, control *Control, prober *upstream.Prober, tracer *tracing.Tracer, ops *operator.Server, clean *cleanups) (*caller.Gateway, error) {
+	client, closeClient := upstream.NewClient()
+	clean.add(closeClient)
+	g, cleanup, err := caller.New(ctx, set.Gateway, clk, log, h, client, caller.Seams{
+		Paused: control.paused,
+		Cold: func(id config.UpstreamID) {
+			prober.Refused(id)
+			control.spreadHealth([]HealthItem{{ID: id, Refused: true, Cold: -1}})
+		},
+		Done: func(service config.ServiceName, owner config.Owner, outcome string, took clock.Millis) {
+			ops.Count(fmt.Sprintf("amaranth_requests_total{service=%q,owner=%q,outcome=%q}", service, owner, outcome))
+			ops.Observe(fmt.Sprintf("amaranth_request_seconds{service=%q}", service), took.Seconds())
+		},
+		Span: tracer.Span, Inject: tracer.Inject, Extract: tracer.Extract,
+	})
+	if err != nil {
+		return nil, err
+	}
+	clean.add(cleanup)
+	control.OnConfig = append(control.OnConfig, func(_ clock.Millis, f *config.File) { g.SetConfig(f) })
+	return g, nil
+}
+
+func provideTracer(ctx context.Context, set *settings.Settings, clean *cleanups) (*tracing.Tracer, error) {
+	t, cleanup, err := tracing.New(ctx, set.VM, set.TraceFile, set.TraceShare)
+	if err == nil {
+		clean.add(cleanup)
+	}
+	return t, err
+}
+
+// verdictChanged acts on what the probes of this VM found and tells others.
+func (c *Control) verdictChanged(now clock.Millis, id config.UpstreamID, v warmup.Verdict) {
+	c.engine.SetVerdict(now, id, v)
+	item := HealthItem{ID: id, Verdict: v, Cold: -1}
+	attr := slog.Uint64("upstream", uint64(id))
+	switch v {
+	case warmup.TurnedCold:
+		item.Cold = 0
+		event.Log(context.Background(), c.log, event.UpstreamCold, attr)
+	case warmup.Unhealthy:
+		event.Log(context.Background(), c.log, event.UpstreamUnhealthy, attr)
+	case warmup.Steady:
+		event.Log(context.Background(), c.log, event.UpstreamHealthy, attr)
+	}
+	c.spreadHealth([]HealthItem{item})
+}
+
+// recoverClaims fetches the claims that an earlier process of this VM left with
+// a neighbour.
+func (d *Daemon) recoverClaims(ctx context.Context) {
+	for range recoverTries {
+		if ctx.Err() != nil || d.holder.Recover(ctx) {
+			return
+		}
+		time.Sleep(recoverPause)
+	}
+}
--- a/amaranthd/daemon/rollout.go
+++ b/amaranthd/daemon/rollout.go
@@ -81,6 +81,7 @@
 // alone on the list needs no answer.
 func (c *Control) greet(now clock.Millis) (out []membership.Send) {
 	if len(c.listed) <= 1 {
+		c.joined.Store(true)
 		c.gate.PeersAsked()
 		return nil
 	}
@@ -189,6 +190,7 @@
 	event.Log(ctx, c.log, event.ConfigFetched, slog.String("vm", string(from)), slog.Int("bytes", len(body)))
 	c.offer(ctx, body, from)
 	c.mu.Lock()
+	c.joined.Store(true)
 	c.gate.PeersAsked()
 	c.resynced(ctx, c.clk.Now())
 	c.mu.Unlock()
@@ -218,6 +220,10 @@
 	if config.DigestOf(body) != reply.Digest {
 		return nil, eris.New("digest does not match the body")
 	}
+	now := c.clk.Now()
+	c.mu.Lock()
+	c.list.Learn(now, reply.Members)
+	c.mu.Unlock()
 	for _, r := range reply.Ramps {
 		defer c.engine.SetRamp(r.ID, r.Start)
 	}
@@ -236,6 +242,9 @@
 		return nil, eris.New("no configuration is in force")
 	}
 	reply := vm.ConfigReply{Version: cand.File.Version, Digest: cand.Digest, Ramps: c.engine.Ramps(c.clk.Now())}
+	c.mu.Lock()
+	reply.Members = c.list.Updates()
+	c.mu.Unlock()
 	base := c.bodyOf(req.Have)
 	reply.Delta = base != nil
 	reply.Body, err = vm.Compress(cand.Body, base)
--- /dev/null
+++ b/amaranthd/scenario/requests_test.go
@@ -0,0 +1,338 @@
+package scenario
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"gotest.tools/v3/assert"
+
+	"github.com/amaranthswitch/amaranthswitch/fleet/claim"
+	"github.com/amaranthswitch/amaranthswitch/fleet/config"
+	"github.com/amaranthswitch/amaranthswitch/standin/caller"
+	"github.com/amaranthswitch/amaranthswitch/standin/fault"
+	"github.com/amaranthswitch/amaranthswitch/standin/site"
+	"github.com/amaranthswitch/amaranthswitch/standin/upstream"
+)
+
+// keyInput is an operation on a key: a caller's request or a run at a back end.
+type keyInput struct {
+	key string
+	run bool
+}
+
+// keyOutput is what the operation showed.
+type keyOutput struct {
+	kind caller.Kind
+	run  string // which run answered
+}
+
+// keyState is what became of a key: "" is untouched, "closed" will never run,
+// and all else names the run.
+type keyState string
+
+const closed keyState = "closed"
+
+// keyModel says that a key runs at most once, that "not run" is true for good
+// and that an answer is of the key's own run.
+var keyModel = (&porcupine.NondeterministicModel{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byKey := make(map[string][]porcupine.Operation)
+		for _, op := range history {
+			k := op.Input.(keyInput).key
+			byKey[k] = append(byKey[k], op)
+		}
+		var list [][]porcupine.Operation
+		for _, ops := range byKey {
+			list = append(list, ops)
+		}
+		return list
+	},
+	Init: func() []any { return []any{keyState("")} },
+	Step: func(state, input, output any) []any {
+		st, in, out := state.(keyState), input.(keyInput), output.(keyOutput)
+		switch {
+		case in.run && st == "":
+			return []any{keyState(out.run)}
+		case in.run:
+			return nil // a second run, or one after it was closed
+		case out.kind == caller.Answered && st == keyState(out.run):
+			return []any{st}
+		case out.kind == caller.Ran && st != "" && st != closed:
+			return []any{st}
+		case out.kind == caller.NotRun && (st == "" || st == closed):
+			return []any{closed}
+		case out.kind == caller.Unknown || out.kind == caller.Failed:
+			return []any{st}
+		}
+		return nil
+	},
+	Equal: func(a, b any) bool { return a == b },
+}).ToModel()
+
+func runName(server config.UpstreamName, n int) string { return fmt.Sprintf("%s#%d", server, n) }
+
+// history joins what callers saw with what back ends ran. A caller's operation
+// ends when it got its answer; that of a run when its back end began it.
+func history(results []caller.RequestResult, servers map[config.UpstreamName]*upstream.Server) (ops []porcupine.Operation) {
+	for i, r := range results {
+		if r.Key == "" {
+			continue
+		}
+		ops = append(ops, porcupine.Operation{
+			ClientId: i, Input: keyInput{key: r.Key}, Call: r.Sent.UnixNano(), Return: r.Done.UnixNano(),
+			Output: keyOutput{kind: r.Kind, run: runName(r.Answer.Server, r.Answer.Run)},
+		})
+	}
+	for name, s := range servers {
+		for n, run := range s.Runs() {
+			if run.Key != "" {
+				at := run.Start.UnixNano()
+				ops = append(ops, porcupine.Operation{
+					ClientId: len(ops), Input: keyInput{key: run.Key, run: true}, Call: at, Return: at,
+					Output: keyOutput{run: runName(name, n)},
+				})
+			}
+		}
+	}
+	return ops
+}
+
+// requestWorld adds requests to a world.
+type requestWorld struct {
+	*world
+	reqs *caller.Requests
+	mu   sync.Mutex
+	to   []netip.AddrPort
+}
+
+func newRequestWorld(t *testing.T, d deployment, opts ...site.Option) *requestWorld {
+	t.Helper()
+	w := &requestWorld{world: newWorld(t, d, nil, opts...)}
+	w.begun = time.Now()
+	w.aim()
+	var cleanup func()
+	w.reqs, cleanup = caller.NewRequests(func() []netip.AddrPort {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return w.to
+	}, *seed)
+	t.Cleanup(cleanup)
+	time.Sleep((claim.TrustMarginMillis + 500).Duration())
+	return w
+}
+
+// aim points callers at the gateways of all running VMs but one.
+func (w *requestWorld) aim(except ...*site.VM) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.to = nil
+	for _, v := range w.VMs {
+		if v.Process != nil && (len(except) == 0 || v != except[0]) {
+			w.to = append(w.to, v.Gateway)
+		}
+	}
+}
+
+// check ends the requests and checks the whole history.
+func (w *requestWorld) check() caller.RequestSummary {
+	w.t.Helper()
+	w.reqs.Wait()
+	time.Sleep(200 * time.Millisecond)
+	results := w.reqs.Results()
+	sum := caller.Summarize(results, w.Runs())
+	peaks := 0
+	for name, s := range w.Servers {
+		peak, shed := s.Peak()
+		peaks += shed
+		assert.Assert(w.t, peak <= w.slotsOf(name), "%s worked on %d requests at a time", name, peak)
+	}
+	w.t.Logf("requests %v | p50 %v p99 %v | doubled %d, false notRun %d | shed by upstreams %d", sum.ByKind, sum.P50, sum.P99, sum.Doubled, sum.FalseNotRun, peaks)
+	reasons := make(map[string]int)
+	for _, r := range results {
+		if r.Kind != caller.Answered {
+			reasons[string(r.Kind)+" "+r.Reason+" "+r.Detail]++
+		}
+	}
+	shown := 0
+	for reason, n := range reasons {
+		if shown++; shown <= 12 {
+			w.t.Logf("%5d %s", n, reason)
+		}
+	}
+	assert.Equal(w.t, sum.Doubled, 0, "requests ran twice")
+	assert.Equal(w.t, sum.FalseNotRun, 0, "requests ran that callers were told did not")
+	assert.Equal(w.t, sum.ByKind[caller.Wrong], 0, "answers of other requests came")
+	res := porcupine.CheckOperationsTimeout(keyModel, history(results, w.Servers), 60*time.Second)
+	assert.Equal(w.t, res, porcupine.Ok)
+	return sum
+}
+
+func (w *requestWorld) slotsOf(name config.UpstreamName) int {
+	for _, sv := range w.Config.Services {
+		for _, u := range sv.Upstreams {
+			if u.Name == name {
+				return u.Slots
+			}
+		}
+	}
+	return 0
+}
+
+// order is the load of keyed requests that may not run twice.
+func (w *requestWorld) order(workers int) caller.RequestPlan {
+	return caller.RequestPlan{
+		Service: w.Config.Services[0].Name, Owner: "mill-a", Method: http.MethodPost, Path: "/orders",
+		Deadline: 3 * time.Second, Workers: workers, Keyed: true, Repeat: 0.4, Body: 50,
+	}
+}
+
+func (w *requestWorld) scan(workers int) caller.RequestPlan {
+	return caller.RequestPlan{
+		Service: w.Config.Services[1].Name, Owner: "school", Method: http.MethodGet, Path: "/scans",
+		Deadline: 3 * time.Second, Workers: workers,
+	}
+}
+
+// requestScenario is a course of events while requests run.
+type requestScenario struct {
+	name    string
+	proxied bool
+	// planned means that every request must get its answer or a truthful
+	// refusal, and none may be cut or become unknown.
+	planned bool
+	run     func(w *requestWorld)
+}
+
+var requestScenarios = []requestScenario{
+	{name: "steady", planned: true, run: func(w *requestWorld) { w.settle(3 * time.Second) }},
+	{name: "rolling restart", planned: true, run: func(w *requestWorld) {
+		for _, v := range w.VMs[:scale(4, len(w.VMs))] {
+			w.aim(v)
+			w.Stop(v)
+			assert.NilError(w.t, w.Start(v))
+			w.waitReady()
+			w.aim()
+		}
+	}},
+	{name: "VMs die", run: func(w *requestWorld) {
+		for _, v := range []*site.VM{w.VMs[1], w.VMs[5]} {
+			w.Kill(v)
+			time.Sleep(time.Second)
+			w.aim()
+			w.settle(2 * time.Second)
+			assert.NilError(w.t, w.Start(v))
+			w.waitReady()
+			w.aim()
+		}
+	}},
+	{name: "partition and heal", proxied: true, run: func(w *requestWorld) {
+		a, b, c := w.Config.Domains[0].Name, w.Config.Domains[1].Name, w.Config.Domains[2].Name
+		w.Cut(a, c, fault.Rule{Cut: true})
+		w.Cut(b, c, fault.Rule{Cut: true})
+		w.settle(5 * time.Second)
+		w.Cut(a, c, fault.Rule{})
+		w.Cut(b, c, fault.Rule{})
+		w.waitReady()
+		w.settle(2 * time.Second)
+	}},
+	{name: "pause and late wake", run: func(w *requestWorld) {
+		w.VMs[2].Process.Freeze()
+		time.Sleep(4 * time.Second)
+		w.VMs[2].Process.Thaw()
+		w.settle(3 * time.Second)
+	}},
+	{name: "upstreams hang, cut answers and drain", run: func(w *requestWorld) {
+		ups := w.Config.Services[0].Upstreams
+		w.Servers[ups[1].Name].SetFaults(upstream.Faults{Hang: true})
+		w.Servers[ups[2].Name].SetFaults(upstream.Faults{Cut: true})
+		time.Sleep(time.Second)
+		w.publish(nil, drainFirst)
+		w.settle(2 * time.Second)
+		w.Servers[ups[1].Name].SetFaults(upstream.Faults{})
+		w.Servers[ups[2].Name].SetFaults(upstream.Faults{})
+	}},
+}
+
+func TestRequests(t *testing.T) {
+	for _, sc := range requestScenarios {
+		d := deployments[len(sc.name)%len(deployments)]
+		t.Run(fmt.Sprintf("%s/%s", sc.name, d.name), func(t *testing.T) {
+			t.Parallel()
+			var opts []site.Option
+			if sc.proxied {
+				opts = append(opts, site.WithProxies())
+			}
+			w := newRequestWorld(t, d, opts...)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			w.reqs.Start(ctx, w.order(12))
+			w.reqs.Start(ctx, w.scan(4))
+			sc.run(w)
+			cancel()
+			sum := w.check()
+			assert.Assert(t, sum.ByKind[caller.Answered] > 100)
+			if sc.planned {
+				assert.Equal(t, sum.ByKind[caller.Failed], 0, "requests were cut in a planned change")
+				assert.Equal(t, sum.ByKind[caller.Unknown], 0, "requests became unknown in a planned change")
+			}
+		})
+	}
+}
+
+// overloaded runs the load of several owners and returns what each was served
+// in the measured time.
+func overloaded(t *testing.T, load map[string]caller.RequestPlan) (served map[string]int, elapsed time.Duration, w *requestWorld) {
+	t.Helper()
+	w = newRequestWorld(t, deployments[1], site.WithServiceTime(40*time.Millisecond))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for owner, p := range load {
+		p.Service, p.Owner, p.Method, p.Path, p.Deadline = "dispatch", owner, http.MethodPut, "/stock", 4*time.Second
+		w.reqs.Start(ctx, p)
+	}
+	time.Sleep(3 * time.Second) // leases of an earlier manager run out, queues fill
+	from := time.Now()
+	time.Sleep(scale(5*time.Second, 20*time.Second))
+	to := time.Now()
+	cancel()
+	w.check()
+	served = make(map[string]int)
+	for _, r := range w.reqs.Results() {
+		if r.Kind == caller.Answered && r.Done.After(from) && r.Done.Before(to) {
+			served[r.Owner]++
+		}
+	}
+	return served, to.Sub(from), w
+}
+
+func TestOwnersAreServedAlike(t *testing.T) {
+	served, elapsed, w := overloaded(t, map[string]caller.RequestPlan{"mill-a": {Workers: 40}, "mill-b": {Workers: 40}, "mill-c": {Workers: 40}})
+	most, least, all := 0, 1<<30, 0
+	for _, n := range served {
+		most, least, all = max(most, n), min(least, n), all+n
+	}
+	slots := 0
+	for _, u := range w.Config.Services[0].Upstreams {
+		slots += u.Slots
+	}
+	capacity := float64(slots) * elapsed.Seconds() / 0.040
+	t.Logf("served %v, max/min %.3f, goodput %.1f %% of capacity", served, float64(most)/float64(least), 100*float64(all)/capacity)
+	assert.Assert(t, float64(most) <= 1.05*float64(least))
+	assert.Assert(t, float64(all) >= 0.90*capacity, "%d requests served, capacity is %.0f", all, capacity)
+}
+
+func TestOneOwnerFloods(t *testing.T) {
+	const rate = 300 // of about 1400 a second that the upstreams bear
+	calm, _, _ := overloaded(t, map[string]caller.RequestPlan{"mill-a": {Rate: rate}, "mill-b": {Rate: rate}, "mill-c": {Rate: rate}})
+	flood, _, _ := overloaded(t, map[string]caller.RequestPlan{"mill-a": {Rate: 10 * rate}, "mill-b": {Rate: rate}, "mill-c": {Rate: rate}})
+	t.Logf("served %v, and %v with a flood by mill-a", calm, flood)
+	for _, owner := range []string{"mill-b", "mill-c"} {
+		assert.Assert(t, float64(flood[owner]) >= 0.95*float64(calm[owner]), "the flood took more than 5 %% of %s", owner)
+	}
+}
--- a/amaranthd/settings/settings.go
+++ b/amaranthd/settings/settings.go
@@ -87,6 +87,9 @@
 	CallMillis clock.Millis `json:"callMillis"`
 	// LeaveMillis is how long a stopping daemon goes on forwarding.
 	LeaveMillis clock.Millis `json:"leaveMillis"`
+	// DrainMillis bounds the wait of a stopping daemon for the requests under
+	// way.
+	DrainMillis clock.Millis `json:"drainMillis"`
 	// HealthMillis is the period of health probes.
 	HealthMillis clock.Millis `json:"healthMillis"`
 	// ClaimMillis bounds a call about an idempotency key or a slot.
@@ -112,6 +115,7 @@
 			WatchRetryMillis: 500,
 			CallMillis:       1000,
 			LeaveMillis:      3000,
+			DrainMillis:      15 * clock.Second,
 			HealthMillis:     1000,
 			ClaimMillis:      500,
 			SlotLeaseMillis:  2000,
--- /dev/null
+++ b/amaranthd/upstream/doc.go
@@ -0,0 +1,5 @@
+// Package upstream sends requests to upstreams and probes their health.
+//
+// An attempt is sent at most once over a pooled connection. The result tells
+// whether any byte may have reached the upstream.
+package upstream
--- a/amaranthd/vm/methods.go
+++ b/amaranthd/vm/methods.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/amaranthswitch/amaranthswitch/fleet/config"
+	"github.com/amaranthswitch/amaranthswitch/fleet/membership"
 	"github.com/amaranthswitch/amaranthswitch/fleet/steering"
 	"github.com/amaranthswitch/amaranthswitch/fleet/wire"
 )
@@ -27,6 +28,8 @@
 	Delta   bool              `json:"delta,omitempty"`
 	Body    []byte            `json:"body,omitempty"`
 	Ramps   []steering.RampOf `json:"ramps,omitempty"`
+	// Members is what the VM believes of all VMs.
+	Members []membership.Update `json:"members,omitempty"`
 }
 
 // HandOverRequest gives exceptions to their new home.
--- a/fleet/membership/list.go
+++ b/fleet/membership/list.go
@@ -350,9 +350,7 @@
 	l.changed = l.changed || m.heard == 0
 	m.heard = now
 	l.learn(now, msg.Self)
-	for _, u := range msg.Updates {
-		l.learn(now, u)
-	}
+	l.Learn(now, msg.Updates)
 	switch msg.Kind {
 	case Ping:
 		out = append(out, Send{To: m.vm, Msg: l.tell(msg.From, l.message(Ack, msg.Seq, msg.Target))})
@@ -426,6 +424,24 @@
 	Reachable   bool        `json:"reachable"`
 }
 
+// Updates returns what is believed of all VMs, self included, for a VM that
+// starts.
+func (l *List) Updates() (list []Update) {
+	list = append(list, Update{ID: l.self.ID, Incarnation: l.incarnation, State: l.state, Home: l.home})
+	for _, id := range l.matching(func(m *member) bool { return m.state != Unknown }) {
+		m := l.members[id]
+		list = append(list, Update{ID: id, Incarnation: m.incarnation, State: m.state, Home: m.home})
+	}
+	return list
+}
+
+// Learn takes what another VM believes of all.
+func (l *List) Learn(now clock.Millis, list []Update) {
+	for _, u := range list {
+		l.learn(now, u)
+	}
+}
+
 // Snapshot returns all VMs in order of their identifiers, self included.
 func (l *List) Snapshot() (list []Peer) {
 	list = append(list, Peer{VM: l.self, State: l.state, Incarnation: l.incarnation, Home: l.home, Reachable: true})
@@ -434,7 +450,7 @@
 		list = append(list, Peer{
 			VM: m.vm, State: m.state, Incarnation: m.incarnation,
 			Home:      m.home && (m.state == Alive || m.state == Suspect) && !m.vm.Leaving,
-			Reachable: m.silent < silentProbes && m.heard != 0,
+			Reachable: m.silent < silentProbes && m.state != Unknown,
 		})
 	}
 	slices.SortFunc(list, func(a, b Peer) int {
--- a/fleet/membership/message.go
+++ b/fleet/membership/message.go
@@ -37,7 +37,10 @@
 	Peer    netip.AddrPort    `json:"peer"`
 	RPC     netip.AddrPort    `json:"rpc"`
 	Gateway netip.AddrPort    `json:"gateway"`
-	Leaving bool              `json:"leaving,omitempty"`
+	// GatewayTunnel is the address of the VM's own Geneve device, which takes
+	// flows of services of kind request. It may be absent.
+	GatewayTunnel netip.AddrPort `json:"gatewayTunnel,omitzero"`
+	Leaving       bool           `json:"leaving,omitempty"`
 }
 
 // Kind tells what a message asks for.
--- a/fleet/steering/engine.go
+++ b/fleet/steering/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -80,6 +81,8 @@
 	view *homes.View
 	// live are all VMs that answer, homes or not.
 	live map[config.VMID]bool
+	// all lists the live VMs.
+	all []config.VMID
 	// unusable are live VMs that this VM cannot reach directly now.
 	unusable map[config.VMID]bool
 	// listed are the VMs that a cold upstream's rate is split among.
@@ -114,6 +117,9 @@
 	routes  atomic.Pointer[routes]
 	members atomic.Pointer[members]
 	setMu   sync.Mutex
+	// file and gateways are what the routes were compiled from.
+	file     *config.File
+	gateways []config.Upstream
 
 	shards  [shardCount]shard
 	flows   atomic.Int64
@@ -193,7 +199,22 @@
 	e.setMu.Lock()
 	defer e.setMu.Unlock()
 	old := e.routes.Load()
-	e.routes.Store(compile(now, old, f, old.version == 0))
+	e.file = f
+	e.routes.Store(compile(now, old, f, e.gateways, old.version == 0))
+}
+
+// SetGateways sets the VMs that take the flows of services of kind request,
+// with their tunnel addresses for them.
+func (e *Engine) SetGateways(now clock.Millis, gateways []config.Upstream) {
+	e.setMu.Lock()
+	defer e.setMu.Unlock()
+	if slices.Equal(gateways, e.gateways) {
+		return
+	}
+	e.gateways = gateways
+	if e.file != nil {
+		e.routes.Store(compile(now, e.routes.Load(), e.file, gateways, false))
+	}
 }
 
 // Membership is a change of the VMs that an engine knows.
@@ -214,7 +235,7 @@
 	e.setMu.Lock()
 	defer e.setMu.Unlock()
 	old := e.members.Load()
-	next := &members{view: old.view, live: setOf(m.Live), unusable: setOf(m.Unusable), listed: m.Listed}
+	next := &members{view: old.view, live: setOf(m.Live), all: m.Live, unusable: setOf(m.Unusable), listed: m.Listed}
 	if !old.view.Ring().Holds(m.Homes) {
 		next.view = old.view.Advance(now, m.Homes)
 	}
--- a/fleet/steering/packet.go
+++ b/fleet/steering/packet.go
@@ -43,6 +43,11 @@
 	Reset
 )
 
+// String returns the kind as traces show it.
+func (k ActionKind) String() string {
+	return [...]string{"drop", "forward", "detour", "hold", "reset"}[k]
+}
+
 // DropReason tells why a packet is discarded.
 type DropReason uint8
 
--- a/fleet/steering/pending.go
+++ b/fleet/steering/pending.go
@@ -129,9 +129,9 @@
 	add(m.view.Rank(id, 1))
 	add(m.view.Rank(id, 2))
 	if wide {
-		vms := m.view.Ring().VMs()
-		for i := range vms {
-			add(vms[(i+int(id.Lo%uint64(len(vms))))%len(vms)])
+		// VMs that are no homes any more may have placed the flow too.
+		for i := range m.all {
+			add(m.all[(i+int(id.Lo%uint64(len(m.all))))%len(m.all)])
 		}
 	}
 	return list
--- a/fleet/steering/report.go
+++ b/fleet/steering/report.go
@@ -62,6 +62,22 @@
 	}
 }
 
+// Ramp returns the warm-up of an upstream.
+func (e *Engine) Ramp(id config.UpstreamID) warmup.Ramp {
+	if u := e.routes.Load().byID[id]; u != nil {
+		return u.Ramp()
+	}
+	return warmup.Ramp{}
+}
+
+// Verdict returns what the signals of an upstream say.
+func (e *Engine) Verdict(id config.UpstreamID) warmup.Verdict {
+	if u := e.routes.Load().byID[id]; u != nil {
+		return warmup.Verdict(u.verdict.Load())
+	}
+	return warmup.Steady
+}
+
 // RampOf is the begin of an upstream's warm-up.
 type RampOf struct {
 	_     struct{}          `cbor:",toarray"`
--- a/fleet/steering/routes.go
+++ b/fleet/steering/routes.go
@@ -32,9 +32,10 @@
 }
 
 // compile derives the routes of f, keeping the upstream records, the table
-// histories and the flows of parts that left the file. first marks the first
-// configuration of a process, which starts no warm-up.
-func compile(now clock.Millis, old *routes, f *config.File, first bool) *routes {
+// histories and the flows of parts that left the file. Flows of services that
+// only take requests go to gateways. first marks the first configuration of a
+// process, which starts no warm-up.
+func compile(now clock.Millis, old *routes, f *config.File, gateways []config.Upstream, first bool) *routes {
 	next := &routes{
 		version:  f.Version,
 		services: make(map[config.VNI]*service, len(f.Services)),
@@ -42,9 +43,7 @@
 	}
 	for i := range f.Services {
 		s := &f.Services[i]
-		if s.Carries(config.KindFlow) {
-			next.services[s.VNI] = compileService(now, old, f, s, first)
-		}
+		next.services[s.VNI] = compileService(now, old, f, s, gateways, first)
 	}
 	used := addressUsers(f)
 	for vni, was := range old.services {
@@ -58,7 +57,7 @@
 	return next
 }
 
-func compileService(now clock.Millis, old *routes, f *config.File, s *config.Service, first bool) *service {
+func compileService(now clock.Millis, old *routes, f *config.File, s *config.Service, gateways []config.Upstream, first bool) *service {
 	next := &service{
 		vni: s.VNI, name: s.Name, address: s.Address, warmUp: s.WarmUp,
 		byID: make(map[config.UpstreamID]*Upstream, len(s.Upstreams)),
@@ -67,25 +66,22 @@
 	if was != nil && was.name != s.Name {
 		was = nil
 	}
-	var picks []config.UpstreamID
 	for i := range s.Upstreams {
-		conf := &s.Upstreams[i]
-		u := upstreamRecord(was, s, conf)
-		next.byID[u.ID] = u
-		before := u.State()
-		known := was != nil && was.byID[u.ID] != nil
-		u.state.Store(uint32(stateOf(f, conf)))
-		u.limit.Store(int64(conf.Connections))
-		if u.State() != Active {
-			continue
-		}
-		picks = append(picks, u.ID)
-		next.members = append(next.members, u)
-		if !first && (!known || before != Active) {
-			u.startRamp(now, s.WarmUp)
+		next.add(now, was, f, s, &s.Upstreams[i], first)
+	}
+	published := len(s.Upstreams)
+	if !s.Carries(config.KindFlow) {
+		next.members = nil
+		for i := range gateways {
+			next.add(now, was, f, s, &gateways[i], true)
 		}
+		published = len(gateways)
+	}
+	picks := make([]config.UpstreamID, len(next.members))
+	for i, u := range next.members {
+		picks[i] = u.ID
 	}
-	table := lookup.Build(lookup.SizeFor(len(s.Upstreams)), picks)
+	table := lookup.Build(lookup.SizeFor(published), picks)
 	if was == nil {
 		next.history = lookup.NewHistory(table)
 	} else {
@@ -94,6 +90,23 @@
 	return next
 }
 
+// add records an upstream, and as a member if it takes new flows.
+func (s *service) add(now clock.Millis, was *service, f *config.File, sv *config.Service, conf *config.Upstream, first bool) {
+	u := upstreamRecord(was, sv, conf)
+	s.byID[u.ID] = u
+	before := u.State()
+	known := was != nil && was.byID[u.ID] != nil
+	u.state.Store(uint32(stateOf(f, conf)))
+	u.limit.Store(int64(conf.Connections))
+	if u.State() != Active {
+		return
+	}
+	s.members = append(s.members, u)
+	if !first && (!known || before != Active) {
+		u.startRamp(now, sv.WarmUp)
+	}
+}
+
 func upstreamRecord(was *service, s *config.Service, conf *config.Upstream) *Upstream {
 	id := s.ID(conf)
 	if was != nil {
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -313,6 +313,24 @@
 	vm.Process = nil
 }
 
+// Gateways lists the gateways of the running VMs.
+func (s *Site) Gateways() (list []netip.AddrPort) {
+	for _, vm := range s.VMs {
+		if vm.Process != nil {
+			list = append(list, vm.Gateway)
+		}
+	}
+	return list
+}
+
+// Runs returns what all back ends ran.
+func (s *Site) Runs() (list []upstream.Run) {
+	for _, h := range s.Servers {
+		list = append(list, h.Runs()...)
+	}
+	return list
+}
+
 // InDomain returns the VMs of a failure domain.
 func (s *Site) InDomain(name config.DomainName) (list []*VM) {
 	for _, vm := range s.VMs {
