--- /dev/null
+++ b/amaranthd/capacity/report.go
@@ -0,0 +1,79 @@
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/amaranthswitch/amaranthswitch/fleet/config"
+)
+
+// encoded returns a file, read back from its JSON form, and that form.
+func encoded(f *config.File) (parsed *config.File, body []byte, err error) {
+	defer func() { err = eris.Wrap(err, "capacity: encode a file") }()
+	if body, err = json.MarshalIndent(f, "", " "); err != nil {
+		return nil, nil, err
+	}
+	parsed, err = config.Parse(body)
+	return parsed, body, err
+}
+
+// target gives the size of the aim for what rows are measured by.
+var target = map[string]float64{
+	"flows":                8300,
+	"VMs":                  470,
+	"upstreams":            3300,
+	"upstreams with flows": 3300,
+	"keys":                 10_000,
+	"slots":                160,
+}
+
+// Slope returns the least-squares line through the row's points.
+func (r Row) Slope() (perUnit, base float64) {
+	n := float64(len(r.Sizes))
+	var sx, sy, sxx, sxy float64
+	for i, size := range r.Sizes {
+		x, y := float64(size), r.Values[i]
+		sx, sy, sxx, sxy = sx+x, sy+y, sxx+x*x, sxy+x*y
+	}
+	perUnit = (n*sxy - sx*sy) / (n*sxx - sx*sx)
+	return perUnit, (sy - perUnit*sx) / n
+}
+
+// AtTarget returns the value that the slope gives at the size of the aim.
+func (r Row) AtTarget() float64 {
+	perUnit, base := r.Slope()
+	return base + perUnit*target[r.Of]
+}
+
+// Run measures all and prints a table to w, or the rows as JSON.
+func Run(w io.Writer, asJSON bool) (err error) {
+	rows := append(Flows(), Members()...)
+	configRows, err := Config()
+	if err != nil {
+		return err
+	}
+	rows = append(rows, configRows...)
+	rows = append(rows, Sums()...)
+	rows = append(rows, Claims()...)
+	rows = append(rows, Slots()...)
+	if asJSON {
+		enc := json.NewEncoder(w)
+		enc.SetIndent("", "  ")
+		return enc.Encode(rows)
+	}
+	fmt.Fprintln(w, "| role | quantity | unit | measured (size: value) | slope | at the aim |")
+	fmt.Fprintln(w, "| --- | --- | --- | --- | --- | --- |")
+	for _, r := range rows {
+		points := ""
+		for i, size := range r.Sizes {
+			points += fmt.Sprintf("%d: %.3g, ", size, r.Values[i])
+		}
+		perUnit, _ := r.Slope()
+		fmt.Fprintf(w, "| %s | %s | %s | %s | %.3g for each 1000 %s | %.3g at %.0f %s |\n",
+			r.Role, r.Quantity, r.Unit, points[:len(points)-2], 1000*perUnit, r.Of, r.AtTarget(), target[r.Of], r.Of)
+	}
+	return nil
+}
--- a/amaranthd/daemon/control.go
+++ b/amaranthd/daemon/control.go
@@ -198,8 +198,12 @@
 	reports := c.board.Tick(now, c.engine.Count, c.engine.SetRemote)
 	c.mu.Unlock()
 	c.sendProbes(probes)
-	for _, r := range reports {
-		_ = c.socket.Send(r.To, wire.Tally, r.Report)
+	c.sendReports(reports)
+}
+
+func (c *Control) sendReports(list []tally.Send) {
+	for _, s := range list {
+		_ = c.socket.Send(s.To, wire.Tally, s.Report)
 	}
 }
 
@@ -323,8 +327,9 @@
 		var r tally.Report
 		if err = wire.Decode(data, &r); err == nil {
 			c.mu.Lock()
-			c.board.Receive(now, r, c.engine.SetRemote)
+			out := c.board.Receive(now, r, c.engine.SetRemote)
 			c.mu.Unlock()
+			c.sendReports(out)
 		}
 	case wire.Health:
 		var b HealthBatch
@@ -341,7 +346,11 @@
 	if _, listed := c.socket.Directory()[b.From]; !listed {
 		return
 	}
+	paused := c.paused(now)
 	for _, item := range b.Items {
+		if paused && item.Kind == steering.Answer {
+			continue // It may have waited in the socket while the process stood still.
+		}
 		c.engine.Receive(now, b.From, item.Message())
 	}
 	c.flushUrgent()
@@ -388,6 +397,9 @@
 	defer c.flushMu.Unlock()
 	now := c.clk.Now()
 	for _, r := range releases {
+		if c.paused(now) {
+			r.Discard, r.Reason = true, steering.Paused
+		}
 		c.injector.Release(now, r)
 	}
 }
--- a/amaranthd/demo/demo.go
+++ b/amaranthd/demo/demo.go
@@ -32,6 +32,10 @@
 	MaxOverMean  float64       `json:"maxOverMean"`
 	Variation    float64       `json:"coefficientOfVariation"`
 	LongestStall time.Duration `json:"longestStall"`
+	// Requests sums up what callers got and compares it with what the back
+	// ends ran. Lost counts requests without any answer.
+	Requests caller.RequestSummary `json:"requests"`
+	Lost     int                   `json:"lost"`
 }
 
 const (
@@ -60,11 +64,41 @@
 	if err = s.StartAll(); err != nil {
 		return err
 	}
-	time.Sleep(2 * time.Second)
+	time.Sleep(startTime)
+	reqs, closeRequests := caller.NewRequests(s.Gateways, o.Seed)
+	defer closeRequests()
+	reqCtx, stopRequests := context.WithCancel(ctx)
+	defer stopRequests()
+	for _, p := range requests(s) {
+		reqs.Start(reqCtx, p)
+	}
 	if err = load(ctx, s, o.Duration, progress); err != nil {
 		return err
 	}
-	return write(w, o, report(s, o))
+	stopRequests()
+	reqs.Wait()
+	r := report(s, o)
+	r.Requests = caller.Summarize(reqs.Results(), s.Runs())
+	r.Lost = r.Requests.ByKind[caller.Failed] + r.Requests.ByKind[caller.Wrong]
+	return write(w, o, r)
+}
+
+// startTime is the time until witnesses that just started trust new keys.
+const startTime = 5 * time.Second
+
+// requests returns the load of both services: commissions, which must not run
+// twice, and scans.
+func requests(s *site.Site) []caller.RequestPlan {
+	return []caller.RequestPlan{
+		{
+			Service: s.Config.Services[0].Name, Owner: "clan-hall", Method: "POST", Path: "/commissions",
+			Deadline: 3 * time.Second, Workers: 6, Keyed: true, Repeat: 0.3, Body: 100,
+		},
+		{
+			Service: s.Config.Services[1].Name, Owner: "school", Method: "GET", Path: "/scans",
+			Deadline: 3 * time.Second, Workers: 3,
+		},
+	}
 }
 
 // load opens flows and changes the configuration in five equal steps.
@@ -158,5 +192,12 @@
 	fmt.Fprintf(w, "%-34s %8.3f\n", "imbalance, max/mean", r.MaxOverMean)
 	fmt.Fprintf(w, "%-34s %8.3f\n", "imbalance, coefficient of variation", r.Variation)
 	fmt.Fprintf(w, "%-34s %8s\n", "longest stall of a flow", r.LongestStall.Round(time.Millisecond))
+	q := r.Requests
+	fmt.Fprintf(w, "%-34s %8d\n", "requests answered", q.ByKind[caller.Answered])
+	fmt.Fprintf(w, "%-34s %8d\n", "requests refused as not run", q.ByKind[caller.NotRun])
+	fmt.Fprintf(w, "%-34s %8d\n", "requests refused as unknown or ran", q.ByKind[caller.Unknown]+q.ByKind[caller.Ran])
+	fmt.Fprintf(w, "%-34s %8d\n", "requests lost", r.Lost)
+	fmt.Fprintf(w, "%-34s %8d\n", "requests run twice", q.Doubled)
+	fmt.Fprintf(w, "%-34s %8d\n", "requests falsely called not run", q.FalseNotRun)
 	return nil
 }
--- a/amaranthd/holder/slots.go
+++ b/amaranthd/holder/slots.go
@@ -339,7 +339,7 @@
 	}
 	s = &Slot{h: h, vm: to, key: leaseKey{managerKey: k, id: id}}
 	var res slot.Result
-	if err = h.call(ctx, within, to, methodAcquire, req, &res); err != nil {
+	if err = h.call(ctx, within+h.timers.CallMillis, to, methodAcquire, req, &res); err != nil {
 		s.giveBack() // The manager may have granted it all the same.
 		h.hint(k, unreachableHint)
 		return nil, eris.Wrap(err, "holder: acquire a slot")
--- a/amaranthd/main.go
+++ b/amaranthd/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/amaranthswitch/amaranthswitch/amaranthd/capacity"
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/demo"
 )
 
@@ -33,6 +34,14 @@
 					return runDaemon(ctx, cmd.String("settings"))
 				},
 			},
+			{
+				Name:  "capacity",
+				Usage: "measure how the cost of a daemon grows and print the table",
+				Flags: []cli.Flag{&cli.BoolFlag{Name: "json", Usage: "print the measurements as JSON"}},
+				Action: func(_ context.Context, cmd *cli.Command) error {
+					return capacity.Run(os.Stdout, cmd.Bool("json"))
+				},
+			},
 			{
 				Name:  "demo",
 				Usage: "run daemons and all that surrounds them in this process",
--- a/amaranthd/scenario/harness_test.go
+++ b/amaranthd/scenario/harness_test.go
@@ -215,6 +215,13 @@
 // openFlows opens long flows to all services and waits until they are open.
 func (w *world) openFlows() {
 	w.t.Helper()
+	w.addFlows()
+	w.eventually(30*time.Second, "opening of all flows", func() bool { return w.Callers.Result().Open >= w.flows*98/100 })
+	time.Sleep(establishTime)
+}
+
+// addFlows begins to open long flows to all services.
+func (w *world) addFlows() {
 	total := 0
 	for i := range w.Config.Services {
 		total += len(w.Config.Services[i].Upstreams)
@@ -227,8 +234,6 @@
 		})
 	}
 	w.begun = time.Now()
-	w.eventually(30*time.Second, "opening of all flows", func() bool { return w.Callers.Result().Open >= w.flows*98/100 })
-	time.Sleep(establishTime)
 }
 
 // establishTime is the time in which exceptions among new flows are copied.
--- a/amaranthd/vm/rpc.go
+++ b/amaranthd/vm/rpc.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
+	"log"
 	"net"
 	"net/netip"
 	"sync"
@@ -15,6 +17,10 @@
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
 )
 
+// quiet keeps the library from logging: closed connections are part of normal
+// operation, and failed calls are reported as errors.
+var quiet = jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
+
 // Method names a call.
 type Method string
 
@@ -70,7 +76,7 @@
 			return
 		}
 		stream := jsonrpc2.NewBufferedStream(&countedConn{Conn: c, in: &s.BytesIn, out: &s.BytesOut}, jsonrpc2.VarintObjectCodec{})
-		conn := jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle)))
+		conn := jsonrpc2.NewConn(ctx, stream, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle)), quiet)
 		s.conns.Store(conn, true)
 		go func() {
 			<-conn.DisconnectNotify()
@@ -161,16 +167,16 @@
 // After an error the call may or may not have been served.
 func (p *Pool) CallWithin(ctx context.Context, timeout clock.Millis, to netip.AddrPort, m Method, params, result any) (err error) {
 	defer func() { err = eris.Wrapf(err, "vm: call %s of %s", m, to) }()
-	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
+	bounded, cancel := context.WithTimeout(ctx, timeout.Duration())
 	defer cancel()
-	conn, err := p.conn(ctx, to)
+	conn, err := p.conn(bounded, to)
 	if err != nil {
 		return err
 	}
-	err = conn.Call(ctx, string(m), params, result)
+	err = conn.Call(bounded, string(m), params, result)
 	var remote *jsonrpc2.Error
-	if err == nil || eris.As(err, &remote) {
-		return err
+	if err == nil || eris.As(err, &remote) || ctx.Err() != nil {
+		return err // A caller that gave up says nothing about the connection.
 	}
 	p.discard(to, conn)
 	if eris.Is(err, context.DeadlineExceeded) {
@@ -206,7 +212,7 @@
 		return nil, err
 	}
 	stream := jsonrpc2.NewBufferedStream(&countedConn{Conn: raw, in: &p.BytesIn, out: &p.BytesOut}, jsonrpc2.VarintObjectCodec{})
-	conn := jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.HandlerWithError(refuse))
+	conn := jsonrpc2.NewConn(context.Background(), stream, jsonrpc2.HandlerWithError(refuse), quiet)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if old := p.conns[to]; old != nil {
--- /dev/null
+++ b/amaranthd/vm/rpc_test.go
@@ -0,0 +1,80 @@
+package vm
+
+import (
+	"context"
+	"encoding/json"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func startServer(t *testing.T, address string) netip.AddrPort {
+	t.Helper()
+	s := NewServer()
+	s.Handle("echo", func(_ context.Context, params json.RawMessage) (any, error) { return params, nil })
+	s.Handle("wait", func(ctx context.Context, params json.RawMessage) (any, error) {
+		select {
+		case <-ctx.Done():
+		case <-time.After(300 * time.Millisecond):
+		}
+		return params, nil
+	})
+	to := netip.MustParseAddrPort(address)
+	cleanup, err := s.Serve(t.Context(), to)
+	assert.NilError(t, err)
+	t.Cleanup(cleanup)
+	return to
+}
+
+// TestCancelKeepsConnection cancels one of two calls on a connection. The other
+// must not be cut by that.
+func TestCancelKeepsConnection(t *testing.T) {
+	to := startServer(t, "127.250.1.1:7947")
+	p, cleanup := NewPool(netip.Addr{}, 2000)
+	defer cleanup()
+	var got string
+	assert.NilError(t, p.Call(t.Context(), to, "echo", "first", &got))
+	ended := make(chan error, 1)
+	go func() {
+		var reply string
+		ended <- p.Call(context.Background(), to, "wait", "second", &reply)
+	}()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.Assert(t, p.Call(ctx, to, "wait", "third", &got) != nil)
+	assert.NilError(t, <-ended)
+}
+
+// TestSilentConnectionIsReplaced has a call time out and the next one succeed on
+// a new connection.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	to := startServer(t, "127.250.1.2:7947")
+	p, cleanup := NewPool(netip.Addr{}, 2000)
+	defer cleanup()
+	silent := 0
+	p.Silent = func(netip.AddrPort) { silent++ }
+	var got string
+	assert.Assert(t, p.CallWithin(t.Context(), 50, to, "wait", "x", &got) != nil)
+	assert.Equal(t, silent, 1)
+	assert.NilError(t, p.Call(t.Context(), to, "echo", "again", &got))
+	assert.Equal(t, got, "again")
+}
+
+func TestDelta(t *testing.T) {
+	base := make([]byte, 300_000)
+	for i := range base {
+		base[i] = byte(i * i >> 3)
+	}
+	next := append([]byte(nil), base...)
+	next[150_000] ^= 1
+	frame, err := Compress(next, base)
+	assert.NilError(t, err)
+	assert.Assert(t, len(frame) < 1000, "a change of one byte takes %d bytes", len(frame))
+	body, err := Decompress(frame, base)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, body, next)
+	_, err = Decompress([]byte("no frame"), nil)
+	assert.Assert(t, err != nil)
+}
--- /dev/null
+++ b/fleet/config/schema_test.go
@@ -0,0 +1,59 @@
+package config
+
+import (
+	"encoding/json"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// schemaNode is the part of a schema that names fields.
+type schemaNode struct {
+	Properties map[string]schemaNode `json:"properties"`
+	Items      *schemaNode           `json:"items"`
+	Defs       map[string]schemaNode `json:"$defs"`
+}
+
+func fieldsOf(v any) (names []string) {
+	t := reflect.TypeOf(v)
+	for i := range t.NumField() {
+		name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+func propertiesOf(n schemaNode) (names []string) {
+	for name := range n.Properties {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// TestSchemaNamesAllFields keeps the schema and the types the same.
+func TestSchemaNamesAllFields(t *testing.T) {
+	var root schemaNode
+	assert.NilError(t, json.Unmarshal(Schema, &root))
+	service := root.Defs["service"]
+	request := service.Properties["request"]
+	tests := []struct {
+		node  schemaNode
+		value any
+	}{
+		{root, File{}},
+		{root.Defs["domain"], Domain{}},
+		{service, Service{}},
+		{root.Defs["upstream"], Upstream{}},
+		{service.Properties["warmUp"], WarmUp{}},
+		{request, Request{}},
+		{*request.Properties["owners"].Items, OwnerRange{}},
+	}
+	for _, test := range tests {
+		assert.DeepEqual(t, propertiesOf(test.node), fieldsOf(test.value))
+	}
+}
--- a/fleet/steering/pending.go
+++ b/fleet/steering/pending.go
@@ -6,6 +6,7 @@
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
 	"github.com/amaranthswitch/amaranthswitch/fleet/config"
 	"github.com/amaranthswitch/amaranthswitch/fleet/flow"
+	"github.com/amaranthswitch/amaranthswitch/fleet/homes"
 	"github.com/amaranthswitch/amaranthswitch/fleet/packet"
 )
 
@@ -109,8 +110,8 @@
 	return Action{Kind: Hold}, true
 }
 
-// targets lists the VMs to ask: earlier homes, the neighbours in rank and, if
-// wide, others that may have the flow in their cache.
+// targets lists the VMs to ask: earlier homes, the home and its neighbours in
+// rank and, if wide, others that may have the flow in their cache.
 func (e *Engine) targets(m *members, id flow.ID, wide bool) (list []config.VMID) {
 	add := func(vm config.VMID) {
 		if vm == "" || vm == e.self || !m.usable(vm) || len(list) == maxAsked {
@@ -126,8 +127,9 @@
 	for _, vm := range m.view.Past(id) {
 		add(vm)
 	}
-	add(m.view.Rank(id, 1))
-	add(m.view.Rank(id, 2))
+	for n := range homes.Ranks {
+		add(m.view.Rank(id, n))
+	}
 	if wide {
 		// VMs that are no homes any more may have placed the flow too.
 		for i := range m.all {
--- a/fleet/steering/tick.go
+++ b/fleet/steering/tick.go
@@ -132,8 +132,8 @@
 		e.passOn(m, id, en, at)
 		return
 	}
-	if at-en.since < uint32(e.limits.CopyAfterMillis/clock.Second) {
-		return
+	if at-en.since <= uint32(e.limits.CopyAfterMillis/clock.Second) {
+		return // Times are whole seconds, so the flow may be just that old.
 	}
 	mark := shortHash(m.view.Copy(id, 0)) ^ shortHash(m.view.Copy(id, 1)) ^ shortHash(m.view.Copy(id, 2))
 	if en.home == mark && at-en.synced < uint32(e.limits.CopyRepeatMillis/clock.Second) {
--- a/fleet/tally/doc.go
+++ b/fleet/tally/doc.go
@@ -1,9 +1,10 @@
 // Package tally adds up how many flows each upstream has over all VMs.
 //
-// Each VM reports its counts to the relay of its failure domain, the relays
-// exchange the sums of their domains, and each relay tells the VMs of its
-// domain the sum over all. A report lists only upstreams with flows, by their
-// position in the order of identifiers that all VMs with the same
-// configuration share. The cost of a VM therefore does not grow with the
-// number of VMs; a relay stretches its period as its domain grows.
+// The VMs of a failure domain form a tree. Each VM reports the counts of itself
+// and of those below it to its parent; the root, the domain's relay, exchanges
+// the domain's sum with the relays of other domains and sends the sum over all
+// down the tree. A report lists only upstreams with flows, by their position in
+// the order of identifiers that all VMs with the same configuration share. What
+// a VM sends does not grow with the number of VMs, and the period stretches with
+// the number of upstreams.
 package tally
--- a/fleet/tally/tally.go
+++ b/fleet/tally/tally.go
@@ -3,21 +3,26 @@
 import (
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
 	"github.com/amaranthswitch/amaranthswitch/fleet/config"
 	"github.com/amaranthswitch/amaranthswitch/fleet/homes"
 )
 
+// fanOut is the number of VMs that report to one VM and that it tells the sum.
+const fanOut = 4
+
 // Level tells what a Report covers.
 type Level uint8
 
 // Levels of a report.
 const (
-	// OfVM reports one VM's counts to its relay.
-	OfVM Level = iota + 1
+	// OfSubtree reports the counts of a VM and of those below it to its parent.
+	OfSubtree Level = iota + 1
 	// OfDomain reports a failure domain's sum to the other relays.
 	OfDomain
-	// OfAll reports the sum over all VMs to a VM.
+	// OfAll reports the sum over all VMs to those below.
 	OfAll
 )
 
@@ -29,11 +34,18 @@
 	From    config.VMID
 	Domain  config.DomainName
 	Version config.Version
-	// Seq numbers an OfVM report; in an OfAll report it is the number of the
-	// receiver's report that the sum includes.
-	Seq    uint64
-	Gaps   []uint32
-	Counts []int64
+	// Included tells which count of each VM of the failure domain the sum
+	// includes.
+	Included []Included
+	Gaps     []uint32
+	Counts   []int64
+}
+
+// Included names a count of a VM, by a short hash of its identifier.
+type Included struct {
+	_   struct{} `cbor:",toarray"`
+	VM  uint32
+	Seq uint64
 }
 
 // Send is a report on its way out.
@@ -52,23 +64,24 @@
 type Period struct {
 	// ReportMillis is the shortest time between reports of a VM.
 	ReportMillis clock.Millis `json:"reportMillis"`
-	// VMsPerPeriod is the number of VMs in a failure domain for which the
-	// shortest time holds. It stretches in proportion beyond.
-	VMsPerPeriod int `json:"vmsPerPeriod"`
-	// StaleMillis ends the use of a report that was not renewed.
-	StaleMillis clock.Millis `json:"staleMillis"`
+	// BytesPerSecond bounds what a VM sends by stretching the time between
+	// reports.
+	BytesPerSecond int `json:"bytesPerSecond"`
+	// StalePeriods is the number of reports that may be missed before the
+	// last one is no longer used.
+	StalePeriods int `json:"stalePeriods"`
 }
 
 // DefaultPeriod returns the timers that suit a deployment of any size.
 func DefaultPeriod() Period {
-	return Period{ReportMillis: 1000, VMsPerPeriod: 12, StaleMillis: 15 * clock.Second}
+	return Period{ReportMillis: 1000, BytesPerSecond: 8000, StalePeriods: 10}
 }
 
 // counts holds a vector of counts by position.
 type counts struct {
-	at     clock.Millis
-	seq    uint64
-	values []int64
+	at       clock.Millis
+	included []Included
+	values   []int64
 }
 
 // Board is one VM's part in the sums. It is not safe for concurrent use.
@@ -78,8 +91,8 @@
 
 	version config.Version
 	ids     []config.UpstreamID
-	peers   []Peer
-	relay   config.VMID
+	parent  config.VMID // empty for the relay
+	below   []config.VMID
 	relays  map[config.DomainName]config.VMID
 
 	seq    uint64
@@ -91,7 +104,7 @@
 
 // NewBoard returns the board of VM self.
 func NewBoard(self Peer, period Period) *Board {
-	b := &Board{self: self, period: period}
+	b := &Board{self: self, period: period, vms: make(map[config.VMID]*counts)}
 	b.SetPeers([]Peer{self})
 	b.SetUpstreams(0, nil)
 	return b
@@ -105,39 +118,62 @@
 	b.others = make(map[config.DomainName]*counts)
 }
 
-// SetPeers sets the living VMs that can be reached, self included.
+// SetPeers sets the living VMs that can be reached, self included. They form a
+// tree in each failure domain, with the domain's relay as its root.
 func (b *Board) SetPeers(peers []Peer) {
-	b.peers = peers
 	byDomain := make(map[config.DomainName][]config.VMID)
 	for _, p := range peers {
 		byDomain[p.Domain] = append(byDomain[p.Domain], p.ID)
 	}
 	b.relays = make(map[config.DomainName]config.VMID)
+	b.parent, b.below = "", nil
 	for d, ids := range byDomain {
-		b.relays[d] = homes.Designated("relay "+string(d), ids, 1)[0]
+		order := homes.Designated("relay "+string(d), ids, len(ids))
+		b.relays[d] = order[0]
+		if d == b.self.Domain {
+			b.climb(order)
+		}
 	}
-	b.relay = b.relays[b.self.Domain]
 	for id := range b.vms {
-		if !slices.ContainsFunc(peers, func(p Peer) bool { return p.ID == id }) {
+		if !slices.Contains(b.below, id) {
 			delete(b.vms, id)
 		}
 	}
 }
 
+// climb finds the VM's place in the tree.
+func (b *Board) climb(order []config.VMID) {
+	at := slices.Index(order, b.self.ID)
+	if at < 0 {
+		return
+	}
+	if at > 0 {
+		b.parent = order[(at-1)/fanOut]
+	}
+	first := min(fanOut*at+1, len(order))
+	b.below = slices.Clone(order[first:min(first+fanOut, len(order))])
+}
+
 // IsRelay reports whether this VM adds up its failure domain.
-func (b *Board) IsRelay() bool { return b.relay == b.self.ID }
+func (b *Board) IsRelay() bool { return b.relays[b.self.Domain] == b.self.ID }
 
-// every returns the time between reports in a domain of this size.
+// bytesPerCount estimates what a count takes on the wire.
+const bytesPerCount = 4
+
+// every returns the time between reports, which keeps what this VM sends, and
+// what it is sent, within bounds.
 func (b *Board) every() clock.Millis {
-	n := 0
-	for _, p := range b.peers {
-		if p.Domain == b.self.Domain {
-			n++
-		}
+	out := (fanOut + 1) * bytesPerCount * len(b.ids)
+	if b.IsRelay() {
+		out += len(b.relays) * bytesPerCount * len(b.ids)
 	}
-	return b.period.ReportMillis * clock.Millis(max(1, (n+b.period.VMsPerPeriod-1)/b.period.VMsPerPeriod))
+	return max(b.period.ReportMillis, clock.Millis(out)*clock.Second/clock.Millis(max(1, b.period.BytesPerSecond)))
 }
 
+func shortHash(id config.VMID) uint32 { return uint32(xxhash.Sum64String(string(id))) }
+
+const keptReports = 64
+
 // Tick returns the reports that are due at now. local gives this VM's count of
 // an upstream, and apply takes the others' count if the VM is a relay.
 func (b *Board) Tick(now clock.Millis, local func(config.UpstreamID) int64, apply func(config.UpstreamID, int64)) (out []Send) {
@@ -145,59 +181,66 @@
 		return nil
 	}
 	b.nextAt = now + b.every()
-	values := make([]int64, len(b.ids))
+	own := make([]int64, len(b.ids))
 	for i, id := range b.ids {
-		values[i] = local(id)
+		own[i] = local(id)
 	}
 	b.seq++
+	b.sent[b.seq] = own
+	delete(b.sent, b.seq-keptReports)
+	sum := b.subtree(now, own)
 	if !b.IsRelay() {
-		b.sent[b.seq] = values
-		b.trim()
-		return []Send{{To: b.relay, Report: b.report(OfVM, b.seq, values)}}
+		if b.parent == "" {
+			return nil
+		}
+		return []Send{{To: b.parent, Report: b.report(OfSubtree, sum)}}
 	}
-	b.vms[b.self.ID] = &counts{at: now, seq: b.seq, values: values}
-	return b.relayReports(now, values, apply)
+	return b.relayReports(now, sum, own, apply)
 }
 
-const keptReports = 32
-
-func (b *Board) trim() { delete(b.sent, b.seq-keptReports) }
-
-// relayReports adds up and tells the other relays and the domain's VMs.
-func (b *Board) relayReports(now clock.Millis, own []int64, apply func(config.UpstreamID, int64)) (out []Send) {
-	domain := make([]int64, len(b.ids))
+// subtree adds up this VM and those below it.
+func (b *Board) subtree(now clock.Millis, own []int64) counts {
+	sum := counts{at: now, values: slices.Clone(own), included: []Included{{VM: shortHash(b.self.ID), Seq: b.seq}}}
 	for id, c := range b.vms {
-		if now-c.at > b.period.StaleMillis {
+		if b.stale(now, c) {
 			delete(b.vms, id)
 			continue
 		}
-		add(domain, c.values)
+		add(sum.values, c.values)
+		sum.included = append(sum.included, c.included...)
 	}
-	all := slices.Clone(domain)
+	return sum
+}
+
+func (b *Board) stale(now clock.Millis, c *counts) bool {
+	return now-c.at > b.every()*clock.Millis(b.period.StalePeriods)
+}
+
+// relayReports tells the other relays and the VMs below the sums.
+func (b *Board) relayReports(now clock.Millis, domain counts, own []int64, apply func(config.UpstreamID, int64)) (out []Send) {
+	all := counts{at: now, values: slices.Clone(domain.values), included: domain.included}
 	for name, c := range b.others {
-		if now-c.at > b.period.StaleMillis {
+		if b.stale(now, c) {
 			delete(b.others, name)
 			continue
 		}
-		add(all, c.values)
+		add(all.values, c.values)
 	}
+	domain.included = nil
 	for name, relay := range b.relays {
 		if name != b.self.Domain {
-			out = append(out, Send{To: relay, Report: b.report(OfDomain, b.seq, domain)})
-		}
-	}
-	for _, p := range b.peers {
-		if p.Domain != b.self.Domain || p.ID == b.self.ID {
-			continue
-		}
-		seq := uint64(0)
-		if c := b.vms[p.ID]; c != nil {
-			seq = c.seq
+			out = append(out, Send{To: relay, Report: b.report(OfDomain, domain)})
 		}
-		out = append(out, Send{To: p.ID, Report: b.report(OfAll, seq, all)})
 	}
 	for i, id := range b.ids {
-		apply(id, all[i]-own[i])
+		apply(id, all.values[i]-own[i])
+	}
+	return b.toBelow(b.report(OfAll, all), out)
+}
+
+func (b *Board) toBelow(r Report, out []Send) []Send {
+	for _, id := range b.below {
+		out = append(out, Send{To: id, Report: r})
 	}
 	return out
 }
@@ -208,10 +251,10 @@
 	}
 }
 
-func (b *Board) report(level Level, seq uint64, values []int64) Report {
-	r := Report{Level: level, From: b.self.ID, Domain: b.self.Domain, Version: b.version, Seq: seq}
+func (b *Board) report(level Level, c counts) Report {
+	r := Report{Level: level, From: b.self.ID, Domain: b.self.Domain, Version: b.version, Included: c.included}
 	last := -1
-	for i, v := range values {
+	for i, v := range c.values {
 		if v == 0 {
 			continue
 		}
@@ -239,26 +282,41 @@
 	return values
 }
 
-// Receive takes a report of another VM. apply gets the number of flows that
-// the other VMs have on each upstream.
-func (b *Board) Receive(now clock.Millis, r Report, apply func(config.UpstreamID, int64)) {
+// Receive takes a report of another VM and returns those to pass on. apply gets
+// the number of flows that the other VMs have on each upstream.
+func (b *Board) Receive(now clock.Millis, r Report, apply func(config.UpstreamID, int64)) (out []Send) {
 	values := b.expand(r)
 	if values == nil {
-		return
+		return nil
 	}
+	c := &counts{at: now, included: r.Included, values: values}
 	switch r.Level {
-	case OfVM:
-		b.vms[r.From] = &counts{at: now, seq: r.Seq, values: values}
+	case OfSubtree:
+		if slices.Contains(b.below, r.From) {
+			b.vms[r.From] = c
+		}
 	case OfDomain:
-		b.others[r.Domain] = &counts{at: now, seq: r.Seq, values: values}
+		b.others[r.Domain] = c
 	case OfAll:
-		mine := b.sent[r.Seq]
-		for i, id := range b.ids {
-			others := values[i]
-			if mine != nil {
-				others -= mine[i]
-			}
-			apply(id, max(0, others))
+		b.applyAll(c, apply)
+		return b.toBelow(r, nil)
+	}
+	return nil
+}
+
+// applyAll takes the sum over all VMs and subtracts what it includes of self.
+func (b *Board) applyAll(c *counts, apply func(config.UpstreamID, int64)) {
+	var own []int64
+	for _, in := range c.included {
+		if in.VM == shortHash(b.self.ID) {
+			own = b.sent[in.Seq]
+		}
+	}
+	for i, id := range b.ids {
+		others := c.values[i]
+		if own != nil {
+			others -= own[i]
 		}
+		apply(id, max(0, others))
 	}
 }
--- a/standin/upstream/server.go
+++ b/standin/upstream/server.go
@@ -222,6 +222,13 @@
 	s.hang, s.cut, s.healthy, s.delay = f.Hang, f.Cut, !f.Unhealthy, f.Delay
 }
 
+// SetUnhealthy makes the health endpoint report ill health, or ends that.
+func (s *Server) SetUnhealthy(unhealthy bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.healthy = !unhealthy
+}
+
 // Restart makes the server look as if it had just started.
 func (s *Server) Restart(cold time.Duration) {
 	s.mu.Lock()
