Let attempts at one key take turns

Cause: in a rolling restart 2 to 3 of some thousands of repeats were refused as unknown. The event now names outcome, gateway and state: the attempts had kept each other from a majority, withdrawn, and used up their tries within milliseconds; and a repeat that asked for a withdrawn attempt was told unknown.

Change: an attempt that loses says that it withdrew, after its votes are gone; repeats try again after a random pause that grows, eight times at most.

Conclusion: at most once was never at risk, the refusals were only too many.

--- a/amaranthd/caller/keyed.go
+++ b/amaranthd/caller/keyed.go
@@ -5,7 +5,9 @@
 	"context"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net/http"
+	"time"
 
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/holder"
 	"github.com/amaranthswitch/amaranthswitch/fleet/claim"
@@ -30,10 +32,11 @@
 	}
 	ctx, end := x.g.seams.Span(x.r.Context(), "claim")
 	defer end()
-	for range claimTries - 1 {
+	for n := range claimTries - 1 {
 		if done, won := x.tryClaim(ctx, k, false); done {
 			return won
 		}
+		backOff(ctx, n)
 	}
 	_, won := x.tryClaim(ctx, k, true)
 	return won
@@ -41,7 +44,22 @@
 
 // claimTries is the number of times that the witnesses are asked. The attempt
 // that has a key may end, or give it up, while its gateway is being asked.
-const claimTries = 2
+const claimTries = 8
+
+// claimPause is the longest wait after the first try; each later one may be
+// longer by as much.
+const claimPause = 20 * time.Millisecond
+
+// backOff waits for a random time, so that attempts at one key that keep each
+// other from a majority come one after the other.
+func backOff(ctx context.Context, n int) {
+	t := time.NewTimer(rand.N(time.Duration(n+1) * claimPause))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
 
 // tryClaim claims the key once. It reports whether the request was answered or
 // the claim won; if not, and unless it is the last try, another may help.
@@ -59,8 +77,13 @@
 		return true, false
 	}
 	a := x.g.holder.Ask(ctx, *res.Other, x.left())
-	if a.Outcome == holder.Unknown && !last {
-		return false, false
+	if a.Outcome == holder.Unknown || a.Outcome == holder.Withdrawn {
+		if !last {
+			return false, false
+		}
+		event.Log(ctx, x.g.log, event.RequestUnknown, slog.String("key", k.String()), slog.String("outcome", string(a.Outcome)),
+			slog.String("gateway", string(res.Other.Gateway)), slog.Int("state", int(res.Other.State)))
+		a.Outcome = holder.Unknown
 	}
 	x.answerRepeat(a)
 	return true, false
@@ -84,9 +107,6 @@
 		holder.HasRun:  "the request ran, its answer is no longer kept",
 		holder.Unknown: "it is not known whether the request ran",
 	}[a.Outcome]
-	if a.Outcome == holder.Unknown {
-		event.Log(x.r.Context(), x.g.log, event.RequestUnknown, slog.String("service", string(x.s.conf.Name)))
-	}
 	x.refuse(a.Outcome, ReasonRepeat, detail)
 }
 
--- a/amaranthd/holder/answers.go
+++ b/amaranthd/holder/answers.go
@@ -32,6 +32,8 @@
 	HasRun Outcome = "ran"
 	// Pending means that it is running.
 	Pending Outcome = "pending"
+	// Withdrawn means that the attempt gave the key up and did not run.
+	Withdrawn Outcome = "withdrawn"
 )
 
 // Answer is what a gateway keeps of an attempt at a request with a key. Body
@@ -142,7 +144,7 @@
 	req := answerRequest{Attempt: other.Attempt, WaitMillis: wait}
 	err := h.call(ctx, wait+h.timers.CallMillis, other.Gateway, methodAnswer, req, &a)
 	switch {
-	case err == nil && (a.Outcome == HasRun || a.Outcome == NotRun):
+	case err == nil && (a.Outcome == HasRun || a.Outcome == NotRun || a.Outcome == Withdrawn):
 		return a
 	case other.State == claim.Ran:
 		return Answer{Outcome: HasRun}
--- a/amaranthd/holder/witness.go
+++ b/amaranthd/holder/witness.go
@@ -143,8 +143,7 @@
 	}
 	res.Won = res.Other == nil && len(c.granted) == c.majority && c.majority > 0
 	if !res.Won {
-		c.Keep(Answer{Outcome: Unknown})
-		c.Withdraw()
+		c.tell(methodWithdraw, func() { c.Keep(Answer{Outcome: Withdrawn}) })
 	}
 	return c, res
 }
@@ -168,20 +167,18 @@
 }
 
 // Finish tells the witnesses that the request ran.
-func (c *Claim) Finish() { c.tell(methodFinish) }
-
-// Withdraw gives up a claim whose attempt never ran and never will.
-func (c *Claim) Withdraw() { c.tell(methodWithdraw) }
+func (c *Claim) Finish() { c.tell(methodFinish, func() {}) }
 
 const tellTries = 3
 
 // tell sends a statement to the witnesses without waiting for it. A statement
-// that is lost leaves the key claimed, which is safe.
-func (c *Claim) tell(m vm.Method) {
+// that is lost leaves the key claimed, which is safe. then is called afterwards.
+func (c *Claim) tell(m vm.Method, then func()) {
 	granted := slices.Clone(c.granted)
 	c.h.telling.Add(1)
 	go func() {
 		defer c.h.telling.Done()
+		defer then()
 		for _, w := range granted {
 			for range tellTries {
 				if c.h.call(context.Background(), c.h.timers.CallMillis, w, m, c.record, &nothing{}) == nil {
