Log unusable settings as their event

Cause: event 1006 stood in the catalogue and was never logged.

Change: a daemon whose settings cannot be used logs it before it ends.

--- a/amaranthd/launch.go
+++ b/amaranthd/launch.go
@@ -12,6 +12,7 @@
 
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/daemon"
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/settings"
+	"github.com/amaranthswitch/amaranthswitch/fleet/event"
 )
 
 // newLogger returns a logger of JSON lines at the named level.
@@ -28,6 +29,8 @@
 func runDaemon(ctx context.Context, path string) (err error) {
 	set, err := settings.Load(path)
 	if err != nil {
+		log := slog.New(slog.NewJSONHandler(os.Stderr, nil))
+		event.Log(ctx, log, event.SettingsFailed, slog.String("error", err.Error()))
 		return err
 	}
 	log, err := newLogger(os.Stderr, set.LogLevel)
