--- a/amaranthd/daemon/control.go
+++ b/amaranthd/daemon/control.go
@@ -379,6 +379,9 @@
 // packets that no longer wait.
 func (c *Control) flush() {
 	messages, releases := c.engine.Take()
+	if len(messages) == 0 && len(releases) == 0 {
+		return
+	}
 	byVM := make(map[config.VMID][]wire.FlowItem)
 	for _, m := range messages {
 		byVM[m.To] = append(byVM[m.To], wire.Item(m))
--- a/amaranthd/daemon/rollout.go
+++ b/amaranthd/daemon/rollout.go
@@ -38,18 +38,8 @@
 	if lone {
 		return true
 	}
-	var near []config.VMID
-	for _, p := range *c.snapshot.Load() {
-		if p.Domain == c.set.Domain && p.State == membership.Alive && p.Reachable {
-			near = append(near, p.ID)
-		}
-	}
-	for _, id := range homes.Designated("watch "+string(c.set.Domain), near, watchersPerDomain) {
-		if id == c.set.VM {
-			return true
-		}
-	}
-	return false
+	vms := near(*c.snapshot.Load(), c.set.Domain)
+	return homes.IsDesignated("watch "+string(c.set.Domain), vms, watchersPerDomain, c.set.VM)
 }
 
 // published takes a configuration from the platform.
--- a/amaranthd/holder/holder.go
+++ b/amaranthd/holder/holder.go
@@ -136,7 +136,7 @@
 
 // SetMembers takes the VMs that are alive, from which managers of slots are
 // chosen.
-func (h *Holder) SetMembers(now clock.Millis, peers []membership.Peer) {
+func (h *Holder) SetMembers(_ clock.Millis, peers []membership.Peer) {
 	h.mu.Lock()
 	live := make(map[config.DomainName][]config.VMID)
 	for _, p := range peers {
@@ -147,7 +147,7 @@
 		}
 	}
 	h.live = live
-	moved := h.moveManagers(now)
+	moved := h.moveManagers()
 	h.mu.Unlock()
 	for _, m := range moved {
 		go h.handManager(m)
--- a/amaranthd/holder/slots.go
+++ b/amaranthd/holder/slots.go
@@ -176,7 +176,7 @@
 
 // moveManagers returns the managers that are no longer this VM's task, and
 // forgets them. The caller holds mu.
-func (h *Holder) moveManagers(clock.Millis) (moved []*manager) {
+func (h *Holder) moveManagers() (moved []*manager) {
 	for k, m := range h.managers {
 		if h.managerOf(k) != h.self {
 			moved = append(moved, m)
--- a/amaranthd/scenario/harness_test.go
+++ b/amaranthd/scenario/harness_test.go
@@ -36,6 +36,8 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
+	// Each scenario runs nine daemons; more at a time starve each other.
+	_ = flag.Set("test.parallel", "3")
 	os.Exit(run(m))
 }
 
--- a/fleet/flow/id.go
+++ b/fleet/flow/id.go
@@ -14,14 +14,6 @@
 	Hi, Lo uint64
 }
 
-// Less orders identifiers.
-func (id ID) Less(other ID) bool {
-	if id.Hi != other.Hi {
-		return id.Hi < other.Hi
-	}
-	return id.Lo < other.Lo
-}
-
 // Key is the secret of the hash. All VMs use the key of the configuration.
 type Key struct {
 	K0, K1 uint64
--- a/fleet/slot/manager.go
+++ b/fleet/slot/manager.go
@@ -332,6 +332,3 @@
 	}
 	m.openAt = min(m.openAt, now)
 }
-
-// InUse returns the number of leases and of waiting requests.
-func (m *Manager) InUse() (leases, waiting int) { return len(m.leases), m.waiting }
--- a/fleet/steering/handle.go
+++ b/fleet/steering/handle.go
@@ -50,16 +50,11 @@
 
 // endFlow answers a packet of a flow whose upstream may get nothing more.
 func (e *Engine) endFlow(sh *shard, p *Packet, en *entry) Action {
-	e.dropEntry(sh, p, en)
+	e.remove(sh, p.ID, en)
 	e.stats.Resets.Add(1)
 	return Action{Kind: Reset}
 }
 
-func (e *Engine) dropEntry(sh *shard, p *Packet, en *entry) {
-	e.remove(sh, p.ID, en)
-	e.flows.Add(-1)
-}
-
 func (e *Engine) handleAsIngress(now clock.Millis, home config.VMID, p *Packet, en *entry) Action {
 	if en == nil || p.opens() {
 		return Action{Kind: Detour, VM: home}
@@ -134,7 +129,7 @@
 // have the earlier flow in their caches; else all are told.
 func (e *Engine) reopen(now clock.Millis, sh *shard, s *service, m *members, p *Packet, en *entry) Action {
 	same := en.up
-	e.dropEntry(sh, p, en)
+	e.remove(sh, p.ID, en)
 	if same.State() == Active && !same.Ramp().Cold(now) {
 		return e.continueFlow(now, e.insert(now, sh, p, same), p)
 	}
--- a/fleet/steering/shard.go
+++ b/fleet/steering/shard.go
@@ -93,7 +93,9 @@
 	}
 }
 
+// remove takes an entry out of the table and off its upstream's count.
 func (e *Engine) remove(sh *shard, id flow.ID, en *entry) {
 	en.uncount()
 	delete(sh.flows, id)
+	e.flows.Add(-1)
 }
--- a/fleet/steering/tick.go
+++ b/fleet/steering/tick.go
@@ -88,7 +88,6 @@
 		}
 		if e.expired(now, en, atHome) {
 			e.remove(sh, id, en)
-			e.flows.Add(-1)
 			continue
 		}
 		if e.credit >= 1 {
@@ -189,7 +188,6 @@
 	for id, en := range sh.flows {
 		if !en.is(flagCounted | flagCopy) {
 			e.remove(sh, id, en)
-			e.flows.Add(-1)
 			return true
 		}
 		if tries++; tries == 64 {
