Run on the users' platform: whole path through an adapter

Cause: the product knew only its own Geneve interface.

Change: fleet/replica copies published items by revision, fleet/catalog makes routes, upstreams and tokens of them, fleet/forward places flows and judges upstreams by what passes, fleet/gossip keeps the group by seeds; amaranthd/entry joins them with sockets, platform/ translates. Calls between VMs move to amaranthd/rpc, names of VMs and services to fleet/ident.

Conclusion: a token derived from the upstream's identifier needs no flow state. What is left is service while upstreams fall silent and after power losses.

--- a/amaranthd/daemon/control.go
+++ b/amaranthd/daemon/control.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/fabric"
+	"github.com/amaranthswitch/amaranthswitch/amaranthd/rpc"
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/settings"
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/vm"
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
@@ -38,7 +39,7 @@
 	engine *steering.Engine
 	path   *fabric.Path
 	socket *vm.Socket
-	pool   *vm.Pool
+	pool   *rpc.Pool
 
 	mu       sync.Mutex
 	list     *membership.List
@@ -85,7 +86,7 @@
 }
 
 // newControl connects the decisions of one VM.
-func newControl(set *settings.Settings, clk clock.Clock, log *slog.Logger, engine *steering.Engine, socket *vm.Socket, pool *vm.Pool) *Control {
+func newControl(set *settings.Settings, clk clock.Clock, log *slog.Logger, engine *steering.Engine, socket *vm.Socket, pool *rpc.Pool) *Control {
 	now := clk.Now()
 	c := &Control{
 		set: set, clk: clk, log: log, engine: engine, socket: socket, pool: pool,
--- a/amaranthd/daemon/daemon.go
+++ b/amaranthd/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/holder"
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/operator"
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/platform"
+	"github.com/amaranthswitch/amaranthswitch/amaranthd/rpc"
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/settings"
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/tracing"
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/upstream"
@@ -31,8 +32,8 @@
 	engine   *steering.Engine
 	path     *fabric.Path
 	socket   *vm.Socket
-	server   *vm.Server
-	pool     *vm.Pool
+	server   *rpc.Server
+	pool     *rpc.Pool
 	platform *platform.Client
 	holder   *holder.Holder
 	prober   *upstream.Prober
@@ -127,14 +128,14 @@
 	return s, err
 }
 
-func providePool(set *settings.Settings, clean *cleanups) *vm.Pool {
-	p, cleanup := vm.NewPool(set.RPC.Addr(), set.Timers.CallMillis)
+func providePool(set *settings.Settings, clean *cleanups) *rpc.Pool {
+	p, cleanup := rpc.NewPool(set.RPC.Addr(), set.Timers.CallMillis)
 	clean.add(cleanup)
 	return p
 }
 
-func provideServer(ctx context.Context, set *settings.Settings, clean *cleanups) (*vm.Server, error) {
-	s := vm.NewServer()
+func provideServer(ctx context.Context, set *settings.Settings, clean *cleanups) (*rpc.Server, error) {
+	s := rpc.NewServer()
 	cleanup, err := s.Serve(ctx, set.RPC)
 	if err == nil {
 		clean.add(cleanup)
@@ -192,8 +193,8 @@
 	Engine   *steering.Engine
 	Path     *fabric.Path
 	Socket   *vm.Socket
-	Server   *vm.Server
-	Pool     *vm.Pool
+	Server   *rpc.Server
+	Pool     *rpc.Pool
 	Platform *platform.Client
 	Holder   *holder.Holder
 	Prober   *upstream.Prober
--- a/amaranthd/daemon/requests.go
+++ b/amaranthd/daemon/requests.go
@@ -9,10 +9,10 @@
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/caller"
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/holder"
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/operator"
+	"github.com/amaranthswitch/amaranthswitch/amaranthd/rpc"
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/settings"
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/tracing"
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/upstream"
-	"github.com/amaranthswitch/amaranthswitch/amaranthd/vm"
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
 	"github.com/amaranthswitch/amaranthswitch/fleet/config"
 	"github.com/amaranthswitch/amaranthswitch/fleet/event"
@@ -28,7 +28,7 @@
 	recoverPause = 100 * time.Millisecond
 )
 
-func provideHolder(set *settings.Settings, clk clock.Clock, log *slog.Logger, pool *vm.Pool, server *vm.Server, control *Control, engine *steering.Engine) *holder.Holder {
+func provideHolder(set *settings.Settings, clk clock.Clock, log *slog.Logger, pool *rpc.Pool, server *rpc.Server, control *Control, engine *steering.Engine) *holder.Holder {
 	timers := holder.Timers{CallMillis: set.Timers.ClaimMillis, LeaseMillis: set.Timers.SlotLeaseMillis}
 	h := holder.New(set.VM, set.Domain, clk, log, pool, server, timers, holder.Seams{
 		Slots: func(now clock.Millis, id config.UpstreamID, full int) (int, bool) {
--- /dev/null
+++ b/amaranthd/entry/daemon.go
@@ -0,0 +1,278 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.uber.org/dig"
+
+	"github.com/amaranthswitch/amaranthswitch/amaranthd/rpc"
+	"github.com/amaranthswitch/amaranthswitch/fleet/catalog"
+	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
+	"github.com/amaranthswitch/amaranthswitch/fleet/event"
+	"github.com/amaranthswitch/amaranthswitch/fleet/forward"
+)
+
+const (
+	tickEvery   clock.Millis = 50
+	forgetEvery              = 5 * clock.Second
+	// pauseGap is the gap between ticks that means the process stood still.
+	pauseGap clock.Millis = 1000
+	// stopQuiet is how long no packet must come before a stopping daemon ends.
+	stopQuiet clock.Millis = 600
+	// stopLeast is how long a stopping daemon forwards at least: the fabric
+	// must have missed two answers.
+	stopLeast clock.Millis = 1200
+	// stopReserve is what a stopping daemon leaves of the time that it has.
+	stopReserve clock.Millis = 500
+)
+
+// Daemon is the daemon of one entry VM.
+type Daemon struct {
+	set     Settings
+	clk     clock.Clock
+	log     *slog.Logger
+	engine  *forward.Engine
+	path    *path
+	keeper  *keeper
+	peers   *peers
+	started clock.Millis
+
+	leaving atomic.Bool
+}
+
+// cleanups collects the clean-up functions of the parts, run last to first.
+type cleanups struct {
+	list []func()
+}
+
+func (c *cleanups) add(f func()) { c.list = append(c.list, f) }
+
+func (c *cleanups) run() {
+	for i := len(c.list) - 1; i >= 0; i-- {
+		c.list[i]()
+	}
+}
+
+// Option configures a Daemon.
+type Option func(*options)
+
+type options struct {
+	clk    clock.Clock
+	policy forward.Policy
+}
+
+// WithClock replaces the system's clock.
+func WithClock(clk clock.Clock) Option { return func(o *options) { o.clk = clk } }
+
+// WithPolicy replaces the policy of placement.
+func WithPolicy(p forward.Policy) Option { return func(o *options) { o.policy = p } }
+
+// New builds the daemon and opens its addresses. Nothing runs before Run; the
+// cleanup closes what was opened.
+func New(ctx context.Context, set Settings, a Adapter, log *slog.Logger, opts ...Option) (d *Daemon, cleanup func(), err error) {
+	defer func() { err = eris.Wrapf(err, "entry: build %s", set.VM) }()
+	o := options{clk: clock.System(), policy: forward.DefaultPolicy()}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	clean := &cleanups{}
+	c := dig.New()
+	for _, constructor := range []any{
+		func() context.Context { return ctx },
+		func() *Settings { return &set },
+		func() *Adapter { return &a },
+		func() *options { return &o },
+		func() *slog.Logger { return log.With(slog.String("vm", string(set.VM))) },
+		func() *cleanups { return clean },
+		provideEngine, provideKeeper, providePath, providePool, provideServer, providePeers, newDaemon,
+	} {
+		if err = c.Provide(constructor); err != nil {
+			return nil, nil, err
+		}
+	}
+	if err = c.Invoke(func(built *Daemon) { d = built }); err != nil {
+		clean.run()
+		return nil, nil, err
+	}
+	return d, clean.run, nil
+}
+
+func provideEngine(set *Settings, o *options, log *slog.Logger) *forward.Engine {
+	return forward.New(set.VM, set.Domain, forward.WithPolicy(o.policy), forward.WithSeams(logDecisions(log)))
+}
+
+// logDecisions returns seams that log what an engine concludes.
+func logDecisions(log *slog.Logger) forward.Seams {
+	ctx := context.Background()
+	return forward.Seams{
+		Silent: func(u *catalog.Entry, silent bool) {
+			id := event.UpstreamAnswer
+			if silent {
+				id = event.UpstreamSilent
+			}
+			event.Log(ctx, log, id, slog.String("upstream", string(u.ID)), slog.String("domain", string(u.Domain)))
+		},
+		Placed: func(p *forward.Packet, d *forward.Decision, u *catalog.Entry) {
+			if d.Action == forward.Refuse {
+				event.Log(ctx, log, event.FlowRefused, slog.String("caller", p.Caller.String()),
+					slog.String("service", p.Service.String()), slog.String("reason", d.Reason.String()))
+				return
+			}
+			if log.Enabled(ctx, slog.LevelDebug) {
+				event.Log(ctx, log, event.FlowPlaced, slog.String("caller", p.Caller.String()),
+					slog.String("service", p.Service.String()), slog.Int("copies", p.Copies), slog.String("upstream", string(u.ID)))
+			}
+		},
+		Lost: func(p *forward.Packet, u *catalog.Entry) {
+			event.Log(ctx, log, event.FlowLost, slog.String("caller", p.Caller.String()),
+				slog.String("service", p.Service.String()), slog.String("upstream", string(u.ID)))
+		},
+	}
+}
+
+func provideKeeper(set *Settings, a *Adapter, o *options, engine *forward.Engine, log *slog.Logger) *keeper {
+	publish := func(c *catalog.Catalog) {
+		engine.SetCatalog(c)
+		event.Log(context.Background(), log, event.CatalogTaken, slog.Uint64("version", uint64(c.Config.Version)),
+			slog.Uint64("revision", uint64(c.Revision)), slog.Int("routes", len(c.Config.Routes)),
+			slog.Int("upstreams", c.Upstreams()), slog.Any("domainsOut", c.DomainsOut()))
+	}
+	return newKeeper(a, o.clk, log, set.HeartbeatMillis, publish)
+}
+
+func providePath(ctx context.Context, set *Settings, a *Adapter, engine *forward.Engine, o *options, clean *cleanups) (*path, error) {
+	p, cleanup, err := newPath(ctx, set, a, engine, o.clk)
+	if err == nil {
+		clean.add(cleanup)
+	}
+	return p, err
+}
+
+func providePool(set *Settings, clean *cleanups) *rpc.Pool {
+	p, cleanup := rpc.NewPool(set.Peers.Addr(), callWait)
+	clean.add(cleanup)
+	return p
+}
+
+func provideServer(ctx context.Context, set *Settings, clean *cleanups) (*rpc.Server, error) {
+	s := rpc.NewServer()
+	cleanup, err := s.Serve(ctx, set.Peers)
+	if err == nil {
+		clean.add(cleanup)
+	}
+	return s, err
+}
+
+func providePeers(ctx context.Context, set *Settings, engine *forward.Engine, k *keeper, pool *rpc.Pool, server *rpc.Server, o *options, log *slog.Logger, clean *cleanups) (*peers, error) {
+	p, cleanup, err := newPeers(ctx, set, engine, k, pool, server, o.clk, log)
+	if err == nil {
+		clean.add(cleanup)
+	}
+	return p, err
+}
+
+func newDaemon(ctx context.Context, set *Settings, a *Adapter, o *options, log *slog.Logger, engine *forward.Engine, p *path, k *keeper, ps *peers, clean *cleanups) (*Daemon, error) {
+	d := &Daemon{set: *set, clk: o.clk, log: log, engine: engine, path: p, keeper: k, peers: ps, started: o.clk.Now()}
+	k.news = ps.news
+	cleanup, err := d.serveReady(ctx, set.Ready, a.ReadyPath)
+	if err == nil {
+		clean.add(cleanup)
+	}
+	return d, err
+}
+
+// serveReady answers the fabric's question whether this VM takes packets.
+func (d *Daemon) serveReady(ctx context.Context, address netip.AddrPort, path string) (cleanup func(), err error) {
+	defer func() { err = eris.Wrapf(err, "entry: serve %s", address) }()
+	var lc net.ListenConfig
+	ln, err := lc.Listen(ctx, "tcp4", address.String())
+	if err != nil {
+		return nil, err
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+path, func(w http.ResponseWriter, _ *http.Request) {
+		if d.leaving.Load() || !d.engine.Ready() {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+		}
+	})
+	srv := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	ended := make(chan error, 1)
+	go func() { ended <- srv.Serve(ln) }()
+	return func() { _ = srv.Close(); <-ended }, nil
+}
+
+// Run runs the daemon until ctx ends, and then until it has stopped taking
+// packets. The cleanup returned by New must follow.
+func (d *Daemon) Run(ctx context.Context) error {
+	event.Log(ctx, d.log, event.DaemonStarted, slog.String("domain", string(d.set.Domain)),
+		slog.String("packets", d.set.Packets.String()), slog.Int("seeds", len(d.set.Seeds)))
+	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	ends := make(chan error, 4)
+	for _, part := range []func(context.Context) error{d.path.run, d.keeper.run, d.peers.read, d.peers.run} {
+		go func() { ends <- part(inner) }()
+	}
+	err := d.tick(ctx, ends)
+	if err == nil {
+		d.stop(ctx)
+	}
+	event.Log(ctx, d.log, event.DaemonStopped, slog.Any("error", err))
+	return err
+}
+
+// tick does what is due from time to time, until ctx or a part ends.
+func (d *Daemon) tick(ctx context.Context, ends <-chan error) error {
+	ticker := time.NewTicker(tickEvery.Duration())
+	defer ticker.Stop()
+	last, forgot := d.clk.Now(), d.clk.Now()
+	wall := time.Now().Round(0)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case err := <-ends:
+			return err
+		case <-ticker.C:
+		}
+		now, wallNow := d.clk.Now(), time.Now().Round(0)
+		d.engine.Tick(now)
+		if gap := max(now-last, clock.Of(wallNow.Sub(wall))); gap > pauseGap {
+			event.Log(ctx, d.log, event.PauseDetected, slog.Int64("gapMillis", int64(gap)))
+			d.keeper.reread()
+		}
+		last, wall = now, wallNow
+		if now-forgot > forgetEvery {
+			forgot = now
+			d.keeper.forget()
+		}
+	}
+}
+
+// stop goes on forwarding until the fabric sends no more packets.
+func (d *Daemon) stop(ctx context.Context) {
+	event.Log(ctx, d.log, event.DaemonLeaving)
+	d.leaving.Store(true)
+	d.peers.leave()
+	begun := d.clk.Now()
+	for {
+		time.Sleep(tickEvery.Duration())
+		now := d.clk.Now()
+		quiet := now - clock.Millis(d.path.lastPacket.Load())
+		if now-begun >= d.set.StopMillis-stopReserve || now-begun >= stopLeast && quiet >= stopQuiet {
+			return
+		}
+	}
+}
+
+// TakeSettings takes what may change while the daemon runs: the seeds.
+func (d *Daemon) TakeSettings(ctx context.Context, set Settings) {
+	d.peers.setSeeds(set.Seeds)
+	event.Log(ctx, d.log, event.SettingsTaken, slog.Int("seeds", len(set.Seeds)))
+}
--- /dev/null
+++ b/amaranthd/entry/path.go
@@ -0,0 +1,137 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync/atomic"
+
+	"github.com/rotisserie/eris"
+	"golang.org/x/net/ipv4"
+
+	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
+	"github.com/amaranthswitch/amaranthswitch/fleet/forward"
+)
+
+const (
+	// batchPackets is the number of packets that one system call takes.
+	batchPackets = 32
+	// socketBufferBytes holds the packets of a pause of the process.
+	socketBufferBytes = 4 << 20
+)
+
+// path carries packets from the fabric to upstreams.
+type path struct {
+	conn   *net.UDPConn
+	batch  *ipv4.PacketConn
+	codec  Codec
+	engine *forward.Engine
+	clk    clock.Clock
+
+	rooms   [][]byte // a packet each, with room for an envelope before it
+	resets  [][]byte
+	in, out []ipv4.Message
+	queued  int
+
+	received, malformed, failed atomic.Int64
+	lastPacket                  atomic.Int64 // clock.Millis
+}
+
+func newPath(ctx context.Context, set *Settings, a *Adapter, engine *forward.Engine, clk clock.Clock) (p *path, cleanup func(), err error) {
+	defer func() { err = eris.Wrapf(err, "entry: open packets address %s", set.Packets) }()
+	var lc net.ListenConfig
+	pc, err := lc.ListenPacket(ctx, "udp4", set.Packets.String())
+	if err != nil {
+		return nil, nil, err
+	}
+	conn := pc.(*net.UDPConn)
+	_ = conn.SetReadBuffer(socketBufferBytes)
+	p = &path{conn: conn, batch: ipv4.NewPacketConn(conn), codec: a.Codec, engine: engine, clk: clk}
+	p.makeBuffers()
+	return p, func() { _ = conn.Close() }, nil
+}
+
+func (p *path) makeBuffers() {
+	p.rooms = make([][]byte, batchPackets)
+	p.resets = make([][]byte, batchPackets)
+	p.in = make([]ipv4.Message, batchPackets)
+	p.out = make([]ipv4.Message, batchPackets)
+	for i := range p.in {
+		p.rooms[i] = make([]byte, p.codec.EnvelopeBytes+p.codec.PacketBytes)
+		p.resets[i] = make([]byte, 0, p.codec.PacketBytes)
+		p.in[i].Buffers = [][]byte{p.rooms[i][p.codec.EnvelopeBytes:]}
+		p.out[i].Buffers = make([][]byte, 1)
+		p.out[i].Addr = &net.UDPAddr{IP: make(net.IP, net.IPv4len)}
+	}
+}
+
+// run forwards packets until the socket is closed.
+func (p *path) run(ctx context.Context) error {
+	for {
+		n, err := p.batch.ReadBatch(p.in, 0)
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return eris.Wrap(err, "entry: read packets")
+		}
+		now := p.clk.Now()
+		p.received.Add(int64(n))
+		p.lastPacket.Store(int64(now))
+		for i := range p.in[:n] {
+			p.handle(now, p.rooms[i], p.in[i].N)
+		}
+		p.flush()
+	}
+}
+
+// handle decides about one packet of n bytes and queues what is to be sent.
+func (p *path) handle(now clock.Millis, room []byte, n int) {
+	data := room[p.codec.EnvelopeBytes:][:n]
+	var packet forward.Packet
+	if err := p.codec.Parse(data, &packet); err != nil {
+		p.malformed.Add(1)
+		return
+	}
+	d := p.engine.Handle(now, &packet)
+	switch d.Action {
+	case forward.Forward:
+		if packet.Opening {
+			p.codec.Mark(data, d.Token)
+		}
+		p.codec.Envelope(room, d.Name)
+		p.queue(room[:p.codec.EnvelopeBytes+n], d.To)
+	case forward.Refuse:
+		if packet.Resetting {
+			return
+		}
+		reset := p.codec.Reset(p.resets[p.queued][:0], &packet)
+		p.queue(reset, netip.AddrPortFrom(packet.Caller.Addr(), uint16(p.conn.LocalAddr().(*net.UDPAddr).Port)))
+	case forward.Drop:
+	}
+}
+
+// queue adds a datagram to the batch. At most one is queued for each packet
+// that was read.
+func (p *path) queue(data []byte, to netip.AddrPort) {
+	m := &p.out[p.queued]
+	m.Buffers[0] = data
+	addr := m.Addr.(*net.UDPAddr)
+	ip := to.Addr().As4()
+	copy(addr.IP, ip[:])
+	addr.Port = int(to.Port())
+	p.queued++
+}
+
+// flush sends the batch. A datagram that cannot be sent is left out.
+func (p *path) flush() {
+	for sent := 0; sent < p.queued; {
+		n, err := p.batch.WriteBatch(p.out[sent:p.queued], 0)
+		sent += max(0, n)
+		if err != nil {
+			p.failed.Add(1)
+			sent++
+		}
+	}
+	p.queued = 0
+}
--- /dev/null
+++ b/amaranthd/entry/peers.go
@@ -0,0 +1,259 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rotisserie/eris"
+
+	"github.com/amaranthswitch/amaranthswitch/amaranthd/rpc"
+	"github.com/amaranthswitch/amaranthswitch/fleet/catalog"
+	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
+	"github.com/amaranthswitch/amaranthswitch/fleet/event"
+	"github.com/amaranthswitch/amaranthswitch/fleet/forward"
+	"github.com/amaranthswitch/amaranthswitch/fleet/gossip"
+	"github.com/amaranthswitch/amaranthswitch/fleet/ident"
+	"github.com/amaranthswitch/amaranthswitch/fleet/replica"
+)
+
+const (
+	// roundEvery is the period of messages to other VMs.
+	roundEvery clock.Millis = 250
+	// callWait bounds a call to another VM.
+	callWait clock.Millis = 1000
+	// maxMessageBytes holds the largest datagram between VMs.
+	maxMessageBytes = 1 << 16
+	// patience is how long a VM waits for the source to tell what another VM
+	// already knows, before it asks that VM.
+	patience clock.Millis = 100
+
+	methodSince rpc.Method = "published.since"
+)
+
+// sinceRequest asks for what changed after a revision.
+type sinceRequest struct {
+	After replica.Revision `json:"after"`
+}
+
+// sinceReply carries an Update in CBOR (RFC 8949).
+type sinceReply struct {
+	Update []byte `json:"update"`
+}
+
+// peers talks to the other VMs.
+type peers struct {
+	conn   *net.UDPConn
+	pool   *rpc.Pool
+	engine *forward.Engine
+	keeper *keeper
+	clk    clock.Clock
+	log    *slog.Logger
+
+	mu    sync.Mutex
+	group *gossip.Group
+
+	aheadSince clock.Millis // time since which another VM knows more, 0 for none
+	alive      map[ident.VMID]bool
+	pulling    atomic.Bool
+	bytesOut   atomic.Int64
+	invalid    atomic.Int64
+}
+
+func newPeers(ctx context.Context, set *Settings, engine *forward.Engine, k *keeper, pool *rpc.Pool, server *rpc.Server, clk clock.Clock, log *slog.Logger) (p *peers, cleanup func(), err error) {
+	defer func() { err = eris.Wrapf(err, "entry: open peers address %s", set.Peers) }()
+	var lc net.ListenConfig
+	pc, err := lc.ListenPacket(ctx, "udp4", set.Peers.String())
+	if err != nil {
+		return nil, nil, err
+	}
+	self := gossip.Peer{ID: set.VM, Domain: set.Domain, Address: set.Peers}
+	now := clk.Now()
+	p = &peers{
+		conn: pc.(*net.UDPConn), pool: pool, engine: engine, keeper: k, clk: clk, log: log,
+		group: gossip.New(now, self, set.Seeds, uint64(set.Peers.Addr().As4()[3])),
+		alive: make(map[ident.VMID]bool),
+	}
+	server.Handle(methodSince, p.serveSince)
+	return p, func() { _ = p.conn.Close() }, nil
+}
+
+// serveSince answers another VM's question what changed.
+func (p *peers) serveSince(_ context.Context, params json.RawMessage) (any, error) {
+	var req sinceRequest
+	if err := json.Unmarshal(params, &req); err != nil {
+		return nil, err
+	}
+	data, err := cbor.Marshal(p.keeper.since(req.After))
+	return sinceReply{Update: data}, err
+}
+
+// read takes messages until the socket is closed.
+func (p *peers) read(ctx context.Context) error {
+	buf := make([]byte, maxMessageBytes)
+	for {
+		n, _, err := p.conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return eris.Wrap(err, "entry: read peers")
+		}
+		p.receive(ctx, buf[:n])
+	}
+}
+
+func (p *peers) receive(ctx context.Context, data []byte) {
+	var msg gossip.Message
+	if err := cbor.Unmarshal(data, &msg); err != nil {
+		p.invalid.Add(1)
+		return
+	}
+	complete := p.keeper.complete()
+	p.mu.Lock()
+	out := p.group.Receive(p.clk.Now(), &msg, complete)
+	p.mu.Unlock()
+	p.send(out)
+	if msg.Complete > complete {
+		p.catchUp(ctx, complete == 0)
+	}
+}
+
+// catchUp asks a VM that knows more. Unless at once is set, the source has some
+// time to tell it first.
+func (p *peers) catchUp(ctx context.Context, atOnce bool) {
+	if !p.pulling.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer p.pulling.Store(false)
+		if !atOnce {
+			sleep(ctx, patience)
+		}
+		p.pull(ctx)
+	}()
+}
+
+// pull fetches what a VM that knows more knows.
+func (p *peers) pull(ctx context.Context) {
+	complete := p.keeper.complete()
+	p.mu.Lock()
+	from, ok := p.group.Ahead(p.clk.Now(), complete)
+	p.mu.Unlock()
+	if !ok {
+		return
+	}
+	var reply sinceReply
+	err := p.pool.Call(ctx, from.Address, methodSince, sinceRequest{After: complete}, &reply)
+	if err != nil {
+		event.Log(ctx, p.log, event.ChannelSilent, slog.String("peer", string(from.ID)), slog.String("error", err.Error()))
+		return
+	}
+	var u replica.Update
+	if err := cbor.Unmarshal(reply.Update, &u); err != nil {
+		event.Log(ctx, p.log, event.MessageInvalid, slog.String("peer", string(from.ID)), slog.String("error", err.Error()))
+		return
+	}
+	p.keeper.apply(u, string(from.ID))
+}
+
+// run sends a round of messages again and again until ctx ends.
+func (p *peers) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		p.round(ctx)
+		sleep(ctx, roundEvery)
+	}
+	return nil
+}
+
+func (p *peers) round(ctx context.Context) {
+	now := p.clk.Now()
+	complete := p.keeper.complete()
+	loads := loadsOf(p.engine.Loads())
+	p.mu.Lock()
+	out := p.group.Round(now, complete, loads)
+	vms := p.group.VMs()
+	alive := p.group.Alive(now)
+	others := p.group.Others(now)
+	_, behind := p.group.Ahead(now, complete)
+	p.mu.Unlock()
+	p.send(out)
+	p.engine.SetVMs(vms)
+	p.engine.SetOthers(sumsOf(others))
+	p.logChanges(ctx, alive)
+	if behind {
+		p.catchUp(ctx, true)
+	}
+}
+
+// logChanges logs which VMs began or ceased to be heard.
+func (p *peers) logChanges(ctx context.Context, alive []gossip.Peer) {
+	heard := make(map[ident.VMID]bool, len(alive))
+	for _, peer := range alive {
+		heard[peer.ID] = true
+		if !p.alive[peer.ID] {
+			event.Log(ctx, p.log, event.VMChanged, slog.String("peer", string(peer.ID)), slog.String("state", "alive"))
+		}
+	}
+	for id := range p.alive {
+		if !heard[id] {
+			event.Log(ctx, p.log, event.VMChanged, slog.String("peer", string(id)), slog.String("state", "silent"))
+		}
+	}
+	p.alive = heard
+}
+
+// news tells other VMs of a new revision.
+func (p *peers) news(complete replica.Revision) {
+	p.mu.Lock()
+	out := p.group.News(p.clk.Now(), complete)
+	p.mu.Unlock()
+	p.send(out)
+}
+
+// leave tells other VMs that this one stops.
+func (p *peers) leave() {
+	p.mu.Lock()
+	p.group.Leave()
+	p.mu.Unlock()
+	p.news(p.keeper.complete())
+}
+
+func (p *peers) setSeeds(seeds []netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.group.SetSeeds(seeds)
+}
+
+func (p *peers) send(out []gossip.Send) {
+	for i := range out {
+		data, err := cbor.Marshal(&out[i].Message)
+		if err != nil {
+			p.invalid.Add(1)
+			continue
+		}
+		p.bytesOut.Add(int64(len(data)))
+		_, _ = p.conn.WriteToUDPAddrPort(data, out[i].To) // An unreachable VM falls silent.
+	}
+}
+
+func loadsOf(sums map[catalog.Token]forward.Sum) []gossip.Load {
+	loads := make([]gossip.Load, 0, len(sums))
+	for t, s := range sums {
+		loads = append(loads, gossip.Load{Token: t, Open: s.Open, Busy: s.Busy})
+	}
+	return loads
+}
+
+func sumsOf(loads map[catalog.Token]gossip.Load) map[catalog.Token]forward.Sum {
+	sums := make(map[catalog.Token]forward.Sum, len(loads))
+	for t, l := range loads {
+		sums[t] = forward.Sum{Open: l.Open, Busy: l.Busy}
+	}
+	return sums
+}
--- /dev/null
+++ b/amaranthd/entry/settings.go
@@ -0,0 +1,91 @@
+package entry
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+
+	"github.com/rotisserie/eris"
+
+	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
+	"github.com/amaranthswitch/amaranthswitch/fleet/ident"
+)
+
+// Settings configure the daemon of one VM.
+type Settings struct {
+	VM     ident.VMID       `json:"vm"`
+	Domain ident.DomainName `json:"domain"`
+	// Packets receives the packets of the fabric.
+	Packets netip.AddrPort `json:"packets"`
+	// Ready answers the fabric's question whether this VM takes packets.
+	Ready netip.AddrPort `json:"ready"`
+	// Peers takes datagrams and calls of other VMs.
+	Peers netip.AddrPort `json:"peers"`
+	// Metrics serves metrics and the status. It may be absent.
+	Metrics netip.AddrPort `json:"metrics,omitzero"`
+	// Seeds are the peer addresses of VMs that may be running.
+	Seeds []netip.AddrPort `json:"seeds"`
+	// Source is the address at which the configuration is published.
+	Source netip.AddrPort `json:"source"`
+	// HeartbeatMillis is the period at which upstreams renew what they publish.
+	HeartbeatMillis clock.Millis `json:"heartbeatMillis"`
+	// StopMillis is the time that a stopping daemon has before it is killed.
+	StopMillis clock.Millis `json:"stopMillis"`
+	// LogLevel is debug, info, warn or error.
+	LogLevel string `json:"logLevel"`
+}
+
+// DefaultSettings returns settings without identity and addresses.
+func DefaultSettings() Settings {
+	return Settings{HeartbeatMillis: 1000, StopMillis: 5000, LogLevel: "info"}
+}
+
+// LoadSettings reads the file at path over the defaults.
+func LoadSettings(path string) (s Settings, err error) {
+	defer func() { err = eris.Wrapf(err, "entry: settings %s", path) }()
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return s, err
+	}
+	return ParseSettings(data)
+}
+
+// ParseSettings decodes settings over the defaults and checks them. Fields
+// that are not known are an error.
+func ParseSettings(data []byte) (s Settings, err error) {
+	s = DefaultSettings()
+	dec := json.NewDecoder(bytes.NewReader(data))
+	dec.DisallowUnknownFields()
+	if err = dec.Decode(&s); err != nil {
+		return s, err
+	}
+	return s, s.check()
+}
+
+func (s *Settings) check() error {
+	if s.VM == "" {
+		return fmt.Errorf("field vm: is missing")
+	}
+	if s.Domain == "" {
+		return fmt.Errorf("field domain: is missing")
+	}
+	for _, a := range []struct {
+		field string
+		value netip.AddrPort
+	}{{"packets", s.Packets}, {"ready", s.Ready}, {"peers", s.Peers}, {"source", s.Source}} {
+		if !a.value.IsValid() || a.value.Port() == 0 {
+			return fmt.Errorf("field %s: needs an IP address and port", a.field)
+		}
+	}
+	for _, m := range []struct {
+		field string
+		value clock.Millis
+	}{{"heartbeatMillis", s.HeartbeatMillis}, {"stopMillis", s.StopMillis}} {
+		if m.value <= 0 {
+			return fmt.Errorf("field %s: %d is not positive", m.field, m.value)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/amaranthd/eventlog/doc.go
@@ -0,0 +1,2 @@
+// Package eventlog writes log lines without ever blocking who logs.
+package eventlog
--- a/amaranthd/holder/holder.go
+++ b/amaranthd/holder/holder.go
@@ -10,7 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/amaranthswitch/amaranthswitch/amaranthd/vm"
+	"github.com/amaranthswitch/amaranthswitch/amaranthd/rpc"
 	"github.com/amaranthswitch/amaranthswitch/fleet/claim"
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
 	"github.com/amaranthswitch/amaranthswitch/fleet/config"
@@ -20,17 +20,17 @@
 
 // Methods that a Holder serves.
 const (
-	methodClaim    vm.Method = "claim.take"
-	methodClose    vm.Method = "claim.close"
-	methodFinish   vm.Method = "claim.finish"
-	methodWithdraw vm.Method = "claim.withdraw"
-	methodAnswer   vm.Method = "claim.answer"
-	methodDeposit  vm.Method = "claim.deposit"
-	methodRecover  vm.Method = "claim.recover"
-	methodAcquire  vm.Method = "slot.acquire"
-	methodRelease  vm.Method = "slot.release"
-	methodRenew    vm.Method = "slot.renew"
-	methodTakeOver vm.Method = "slot.takeOver"
+	methodClaim    rpc.Method = "claim.take"
+	methodClose    rpc.Method = "claim.close"
+	methodFinish   rpc.Method = "claim.finish"
+	methodWithdraw rpc.Method = "claim.withdraw"
+	methodAnswer   rpc.Method = "claim.answer"
+	methodDeposit  rpc.Method = "claim.deposit"
+	methodRecover  rpc.Method = "claim.recover"
+	methodAcquire  rpc.Method = "slot.acquire"
+	methodRelease  rpc.Method = "slot.release"
+	methodRenew    rpc.Method = "slot.renew"
+	methodTakeOver rpc.Method = "slot.takeOver"
 )
 
 // tickMillis is the period in which leases and queues are looked after.
@@ -59,7 +59,7 @@
 	domain config.DomainName
 	clk    clock.Clock
 	log    *slog.Logger
-	pool   *vm.Pool
+	pool   *rpc.Pool
 	timers Timers
 	seams  Seams
 	table  *claim.Table
@@ -81,7 +81,7 @@
 	bytes    int
 	leaving  bool
 
-	handlers map[vm.Method]vm.Handler
+	handlers map[rpc.Method]rpc.Handler
 
 	leaseMu sync.Mutex
 	leases  map[config.VMID]map[leaseKey]bool
@@ -89,7 +89,7 @@
 }
 
 // New returns the holder of a VM and registers its methods with server.
-func New(self config.VMID, domain config.DomainName, clk clock.Clock, log *slog.Logger, pool *vm.Pool, server *vm.Server, timers Timers, seams Seams) *Holder {
+func New(self config.VMID, domain config.DomainName, clk clock.Clock, log *slog.Logger, pool *rpc.Pool, server *rpc.Server, timers Timers, seams Seams) *Holder {
 	now := clk.Now()
 	h := &Holder{
 		self: self, domain: domain, clk: clk, log: log, pool: pool, timers: timers, seams: seams,
@@ -102,7 +102,7 @@
 		leases:   make(map[config.VMID]map[leaseKey]bool),
 		hints:    make(map[managerKey]int),
 	}
-	h.handlers = map[vm.Method]vm.Handler{
+	h.handlers = map[rpc.Method]rpc.Handler{
 		methodClaim: h.serveClaim, methodClose: h.serveClose, methodFinish: h.serveFinish,
 		methodWithdraw: h.serveWithdraw, methodAnswer: h.serveAnswer,
 		methodDeposit: h.serveDeposit, methodRecover: h.serveRecover,
@@ -155,7 +155,7 @@
 }
 
 // call calls a method of a VM, directly if it is this one.
-func (h *Holder) call(ctx context.Context, timeout clock.Millis, to config.VMID, m vm.Method, params, result any) (err error) {
+func (h *Holder) call(ctx context.Context, timeout clock.Millis, to config.VMID, m rpc.Method, params, result any) (err error) {
 	if to == h.self {
 		return h.callSelf(ctx, timeout, m, params, result)
 	}
@@ -168,7 +168,7 @@
 	return h.pool.CallWithin(ctx, timeout, address, m, params, result)
 }
 
-func (h *Holder) callSelf(ctx context.Context, timeout clock.Millis, m vm.Method, params, result any) (err error) {
+func (h *Holder) callSelf(ctx context.Context, timeout clock.Millis, m rpc.Method, params, result any) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout.Duration())
 	defer cancel()
 	raw, err := json.Marshal(params)
--- a/amaranthd/holder/witness.go
+++ b/amaranthd/holder/witness.go
@@ -8,7 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"github.com/amaranthswitch/amaranthswitch/amaranthd/vm"
+	"github.com/amaranthswitch/amaranthswitch/amaranthd/rpc"
 	"github.com/amaranthswitch/amaranthswitch/fleet/claim"
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
 	"github.com/amaranthswitch/amaranthswitch/fleet/config"
@@ -173,7 +173,7 @@
 
 // tell sends a statement to the witnesses without waiting for it. A statement
 // that is lost leaves the key claimed, which is safe. then is called afterwards.
-func (c *Claim) tell(m vm.Method, then func()) {
+func (c *Claim) tell(m rpc.Method, then func()) {
 	granted := slices.Clone(c.granted)
 	c.h.telling.Add(1)
 	go func() {
--- /dev/null
+++ b/amaranthd/rpc/doc.go
@@ -0,0 +1,2 @@
+// Package rpc makes and serves the calls between VMs.
+package rpc
--- a/amaranthd/vm/rpc.go
+++ b/amaranthd/rpc/rpc.go
@@ -1,4 +1,4 @@
-package vm
+package rpc
 
 import (
 	"context"
@@ -48,7 +48,7 @@
 
 // Serve accepts connections on address until the returned function is called.
 func (s *Server) Serve(ctx context.Context, address netip.AddrPort) (cleanup func(), err error) {
-	defer func() { err = eris.Wrapf(err, "vm: serve %s", address) }()
+	defer func() { err = eris.Wrapf(err, "rpc: serve %s", address) }()
 	var lc net.ListenConfig
 	ln, err := lc.Listen(ctx, "tcp", address.String())
 	if err != nil {
@@ -90,7 +90,7 @@
 	h := s.handlers[Method(req.Method)]
 	s.mu.RUnlock()
 	if h == nil {
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "vm: unknown method " + req.Method}
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "rpc: unknown method " + req.Method}
 	}
 	var params json.RawMessage
 	if req.Params != nil {
@@ -166,7 +166,7 @@
 // CallWithin calls a method of the VM at to and waits at most for timeout.
 // After an error the call may or may not have been served.
 func (p *Pool) CallWithin(ctx context.Context, timeout clock.Millis, to netip.AddrPort, m Method, params, result any) (err error) {
-	defer func() { err = eris.Wrapf(err, "vm: call %s of %s", m, to) }()
+	defer func() { err = eris.Wrapf(err, "rpc: call %s of %s", m, to) }()
 	bounded, cancel := context.WithTimeout(ctx, timeout.Duration())
 	defer cancel()
 	conn, err := p.conn(bounded, to)
@@ -224,7 +224,7 @@
 }
 
 func refuse(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
-	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "vm: the caller serves no methods"}
+	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "rpc: the caller serves no methods"}
 }
 
 func (p *Pool) discard(to netip.AddrPort, conn *jsonrpc2.Conn) {
--- a/amaranthd/scenario/harness_test.go
+++ b/amaranthd/scenario/harness_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/daemon"
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/demo"
+	"github.com/amaranthswitch/amaranthswitch/amaranthd/rpc"
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/vm"
 	"github.com/amaranthswitch/amaranthswitch/examples"
 	"github.com/amaranthswitch/amaranthswitch/fleet/config"
@@ -112,7 +113,7 @@
 type world struct {
 	*site.Site
 	t     *testing.T
-	pool  *vm.Pool
+	pool  *rpc.Pool
 	flows int
 	dir   string
 	begun time.Time
@@ -141,7 +142,7 @@
 	s, cleanup, err := site.New(ctx, d.file, launcher(t, dir), opts...)
 	assert.NilError(t, err)
 	t.Cleanup(cleanup)
-	pool, closePool := vm.NewPool(netip.Addr{}, 2000)
+	pool, closePool := rpc.NewPool(netip.Addr{}, 2000)
 	t.Cleanup(closePool)
 	w := &world{Site: s, t: t, pool: pool, flows: scale(1200, 10000), dir: dir}
 	if *keep {
--- a/amaranthd/vm/methods.go
+++ b/amaranthd/vm/methods.go
@@ -1,6 +1,7 @@
 package vm
 
 import (
+	"github.com/amaranthswitch/amaranthswitch/amaranthd/rpc"
 	"github.com/amaranthswitch/amaranthswitch/fleet/config"
 	"github.com/amaranthswitch/amaranthswitch/fleet/membership"
 	"github.com/amaranthswitch/amaranthswitch/fleet/steering"
@@ -9,9 +10,9 @@
 
 // Methods that VMs serve.
 const (
-	GetConfig Method = "config.get"
-	HandOver  Method = "flows.handOver"
-	GetStatus Method = "status.get"
+	GetConfig rpc.Method = "config.get"
+	HandOver  rpc.Method = "flows.handOver"
+	GetStatus rpc.Method = "status.get"
 )
 
 // ConfigRequest asks for the configuration in force. Have names the one that
--- a/fleet/config/ids.go
+++ b/fleet/config/ids.go
@@ -4,26 +4,26 @@
 	"fmt"
 
 	"github.com/cespare/xxhash/v2"
-)
 
-// Version numbers a published file. A file replaces another only if its
-// version is higher.
-type Version uint64
+	"github.com/amaranthswitch/amaranthswitch/fleet/ident"
+)
 
 // VNI is the Geneve virtual network identifier of a service, 1 to 2^24-1.
 type VNI uint32
 
-// VMID names a VM that runs the daemon.
-type VMID string
-
-// DomainName names a failure domain.
-type DomainName string
-
-// RegionName names a region, a set of failure domains.
-type RegionName string
-
-// ServiceName names a service.
-type ServiceName string
+// Names that the configuration shares with everything else.
+type (
+	// Version numbers a published file.
+	Version = ident.Version
+	// VMID names a VM that runs the daemon.
+	VMID = ident.VMID
+	// DomainName names a failure domain.
+	DomainName = ident.DomainName
+	// RegionName names a region.
+	RegionName = ident.RegionName
+	// ServiceName names a service.
+	ServiceName = ident.ServiceName
+)
 
 // UpstreamName names an upstream within its service.
 type UpstreamName string
--- a/fleet/event/event.go
+++ b/fleet/event/event.go
@@ -16,6 +16,8 @@
 	PauseDetected  ID = 1004
 	PauseOver      ID = 1005
 	SettingsFailed ID = 1006
+	LinesDropped   ID = 1007
+	SettingsTaken  ID = 1008
 )
 
 // Events of the configuration.
@@ -48,6 +50,18 @@
 	DomainIn          ID = 4005
 )
 
+// Events of what is published and of flows whose packets name their upstream.
+const (
+	ItemChanged    ID = 6001
+	ItemInvalid    ID = 6002
+	FlowPlaced     ID = 6003
+	FlowRefused    ID = 6004
+	FlowLost       ID = 6005
+	UpstreamSilent ID = 6006
+	UpstreamAnswer ID = 6007
+	CatalogTaken   ID = 6008
+)
+
 // Events of requests.
 const (
 	RequestUnknown ID = 5001
@@ -63,6 +77,16 @@
 	PauseDetected:     "pauseDetected",
 	PauseOver:         "pauseOver",
 	SettingsFailed:    "settingsFailed",
+	LinesDropped:      "linesDropped",
+	SettingsTaken:     "settingsTaken",
+	ItemChanged:       "itemChanged",
+	ItemInvalid:       "itemInvalid",
+	FlowPlaced:        "flowPlaced",
+	FlowRefused:       "flowRefused",
+	FlowLost:          "flowLost",
+	UpstreamSilent:    "upstreamSilent",
+	UpstreamAnswer:    "upstreamAnswers",
+	CatalogTaken:      "catalogTaken",
 	ConfigAccepted:    "configAccepted",
 	ConfigInvalid:     "configInvalid",
 	ConfigOlder:       "configOlder",
@@ -90,6 +114,12 @@
 var levels = map[ID]slog.Level{
 	PauseDetected:     slog.LevelWarn,
 	SettingsFailed:    slog.LevelError,
+	LinesDropped:      slog.LevelWarn,
+	ItemInvalid:       slog.LevelError,
+	FlowPlaced:        slog.LevelDebug,
+	FlowRefused:       slog.LevelWarn,
+	FlowLost:          slog.LevelWarn,
+	UpstreamSilent:    slog.LevelWarn,
 	ConfigInvalid:     slog.LevelError,
 	ConfigConflict:    slog.LevelError,
 	ConfigOlder:       slog.LevelWarn,
--- /dev/null
+++ b/fleet/gossip/group.go
@@ -0,0 +1,257 @@
+package gossip
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+
+	"github.com/amaranthswitch/amaranthswitch/fleet/catalog"
+	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
+	"github.com/amaranthswitch/amaranthswitch/fleet/ident"
+	"github.com/amaranthswitch/amaranthswitch/fleet/replica"
+)
+
+const (
+	// nearEach and farEach bound the messages of a round to VMs of the own
+	// and of other failure domains.
+	nearEach = 4
+	farEach  = 2
+	// knownEach is the number of other VMs that a message names.
+	knownEach = 4
+	// aliveFor is how long a VM counts as alive after its last message.
+	aliveFor = 2 * clock.Second
+	// silentEvery makes each n-th round greet VMs that are not alive.
+	silentEvery = 4
+	// forgetAfter is how long a silent VM counts as a member. Until then it
+	// may run behind a partition and use its share of cold upstreams.
+	forgetAfter = 60 * clock.Second
+	// loadLife is how long a reported load is believed.
+	loadLife clock.Millis = 1500
+)
+
+// member is what is known of another VM.
+type member struct {
+	peer     Peer
+	started  clock.Millis
+	number   uint64
+	heard    clock.Millis // 0 if it never spoke to this VM
+	named    clock.Millis // last time that another VM named it
+	leaving  bool
+	complete replica.Revision
+	loads    []Load
+}
+
+// Group is one VM's knowledge of the others. It is not safe for concurrent use.
+type Group struct {
+	self    Peer
+	started clock.Millis
+	number  uint64
+	rng     *rand.Rand
+	seeds   []netip.AddrPort
+	members map[ident.VMID]*member
+	rounds  int
+	leaving bool
+}
+
+// New returns the group of a VM that starts at now and knows only its seeds.
+func New(now clock.Millis, self Peer, seeds []netip.AddrPort, seed uint64) *Group {
+	return &Group{
+		self:    self,
+		started: now,
+		rng:     rand.New(rand.NewPCG(seed, uint64(now))),
+		seeds:   seeds,
+		members: make(map[ident.VMID]*member),
+	}
+}
+
+// SetSeeds replaces the seeds.
+func (g *Group) SetSeeds(seeds []netip.AddrPort) { g.seeds = seeds }
+
+// Leave tells the others from now on that this VM stops.
+func (g *Group) Leave() { g.leaving = true }
+
+// Round returns the messages of one round.
+func (g *Group) Round(now clock.Millis, complete replica.Revision, loads []Load) (out []Send) {
+	g.rounds++
+	g.forget(now)
+	greet := g.rounds%silentEvery == 1
+	for _, to := range g.targets(now, greet) {
+		out = append(out, Send{To: to, Message: g.message(now, complete, loads, greet)})
+	}
+	return out
+}
+
+// News returns messages about a new revision to a bounded number of VMs.
+func (g *Group) News(now clock.Millis, complete replica.Revision) (out []Send) {
+	for _, to := range g.targets(now, false) {
+		out = append(out, Send{To: to, Message: g.message(now, complete, nil, false)})
+	}
+	return out
+}
+
+func (g *Group) message(now clock.Millis, complete replica.Revision, loads []Load, asks bool) Message {
+	g.number++
+	return Message{
+		From: g.self, Started: g.started, Number: g.number, Leaving: g.leaving,
+		Complete: complete, Asks: asks, Known: g.sample(now), Loads: loads,
+	}
+}
+
+// targets picks living VMs at random, and the silent ones and the seeds if
+// they are to be greeted.
+func (g *Group) targets(now clock.Millis, greet bool) (to []netip.AddrPort) {
+	var near, far, silent []netip.AddrPort
+	for _, m := range g.sorted() {
+		switch {
+		case !m.alive(now):
+			silent = append(silent, m.peer.Address)
+		case m.peer.Domain == g.self.Domain:
+			near = append(near, m.peer.Address)
+		default:
+			far = append(far, m.peer.Address)
+		}
+	}
+	to = append(g.pick(near, nearEach), g.pick(far, farEach)...)
+	if greet {
+		to = append(to, g.pick(silent, nearEach)...)
+		for _, seed := range g.seeds {
+			if seed != g.self.Address && !slices.Contains(to, seed) {
+				to = append(to, seed)
+			}
+		}
+	}
+	return to
+}
+
+func (g *Group) pick(list []netip.AddrPort, n int) []netip.AddrPort {
+	g.rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list[:min(n, len(list))]
+}
+
+func (g *Group) sorted() []*member {
+	list := make([]*member, 0, len(g.members))
+	for _, m := range g.members {
+		list = append(list, m)
+	}
+	slices.SortFunc(list, func(a, b *member) int { return cmp.Compare(a.peer.ID, b.peer.ID) })
+	return list
+}
+
+// sample names a few VMs that spoke to this one lately.
+func (g *Group) sample(now clock.Millis) (known []Peer) {
+	for _, m := range g.sorted() {
+		if m.alive(now) {
+			known = append(known, m.peer)
+		}
+	}
+	g.rng.Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
+	return known[:min(knownEach, len(known))]
+}
+
+func (m *member) alive(now clock.Millis) bool {
+	return m.heard != 0 && now-m.heard < aliveFor && !m.leaving
+}
+
+// Receive takes a message and returns the answers to it.
+func (g *Group) Receive(now clock.Millis, msg *Message, complete replica.Revision) (out []Send) {
+	if msg.From.ID == g.self.ID || msg.From.ID == "" || !msg.From.Address.IsValid() {
+		return nil
+	}
+	m := g.members[msg.From.ID]
+	if m == nil {
+		m = &member{}
+		g.members[msg.From.ID] = m
+	}
+	if msg.Started < m.started || msg.Started == m.started && msg.Number <= m.number {
+		return nil // a late message, or of the VM's last process
+	}
+	first := m.heard == 0
+	m.peer, m.started, m.number = msg.From, msg.Started, msg.Number
+	m.heard, m.leaving, m.complete = now, msg.Leaving, msg.Complete
+	if msg.Loads != nil {
+		m.loads = msg.Loads
+	}
+	for _, p := range msg.Known {
+		if to, ok := g.learn(now, p); ok {
+			out = append(out, Send{To: to, Message: g.message(now, complete, nil, true)})
+		}
+	}
+	if msg.Asks || first {
+		out = append(out, Send{To: msg.From.Address, Message: g.message(now, complete, nil, false)})
+	}
+	return out
+}
+
+// learn takes note of a VM that another one named. It returns the address of a
+// VM not known before, which is greeted at once.
+func (g *Group) learn(now clock.Millis, p Peer) (to netip.AddrPort, unknown bool) {
+	if p.ID == g.self.ID || p.ID == "" || !p.Address.IsValid() {
+		return to, false
+	}
+	if m := g.members[p.ID]; m != nil {
+		m.named = now
+		return to, false
+	}
+	g.members[p.ID] = &member{peer: p, named: now}
+	return p.Address, true
+}
+
+func (g *Group) forget(now clock.Millis) {
+	for id, m := range g.members {
+		if now-max(m.heard, m.named) > forgetAfter {
+			delete(g.members, id)
+		}
+	}
+}
+
+// VMs returns the VMs that are or lately were members, self included.
+func (g *Group) VMs() []ident.VMID {
+	ids := []ident.VMID{g.self.ID}
+	for id := range g.members {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Alive returns the VMs that spoke to this one lately.
+func (g *Group) Alive(now clock.Millis) (peers []Peer) {
+	for _, m := range g.sorted() {
+		if m.alive(now) {
+			peers = append(peers, m.peer)
+		}
+	}
+	return peers
+}
+
+// Ahead returns a living VM that holds a higher revision than complete, one
+// of the own failure domain if there is any.
+func (g *Group) Ahead(now clock.Millis, complete replica.Revision) (p Peer, ok bool) {
+	for _, m := range g.sorted() {
+		if m.complete <= complete || !m.alive(now) {
+			continue
+		}
+		if !ok || m.peer.Domain == g.self.Domain && p.Domain != g.self.Domain {
+			p, ok = m.peer, true
+		}
+	}
+	return p, ok
+}
+
+// Others returns the load that the other VMs reported lately.
+func (g *Group) Others(now clock.Millis) map[catalog.Token]Load {
+	sums := make(map[catalog.Token]Load)
+	for _, m := range g.members {
+		if m.heard == 0 || now-m.heard > loadLife {
+			continue
+		}
+		for _, l := range m.loads {
+			s := sums[l.Token]
+			s.Open += l.Open
+			s.Busy += l.Busy
+			sums[l.Token] = s
+		}
+	}
+	return sums
+}
