--- a/amaranthd/entry/daemon.go
+++ b/amaranthd/entry/daemon.go
@@ -112,12 +112,13 @@
 func logDecisions(log *slog.Logger) forward.Seams {
 	ctx := context.Background()
 	return forward.Seams{
-		Silent: func(u *catalog.Entry, silent bool) {
-			id := event.UpstreamAnswer
-			if silent {
-				id = event.UpstreamSilent
+		Health: func(u *catalog.Entry, wholeDomain bool, from, to string) {
+			attrs := []slog.Attr{slog.String("domain", string(u.Domain)), slog.String("from", from), slog.String("to", to)}
+			if wholeDomain {
+				event.Log(ctx, log, event.DomainHealth, attrs...)
+				return
 			}
-			event.Log(ctx, log, id, slog.String("upstream", string(u.ID)), slog.String("domain", string(u.Domain)))
+			event.Log(ctx, log, event.UpstreamHealth, append(attrs, slog.String("upstream", string(u.ID)))...)
 		},
 		Placed: func(p *forward.Packet, d *forward.Decision, u *catalog.Entry) {
 			if d.Action == forward.Refuse {
--- a/amaranthd/entry/keeper.go
+++ b/amaranthd/entry/keeper.go
@@ -6,10 +6,12 @@
 	"log/slog"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/amaranthswitch/amaranthswitch/fleet/catalog"
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
 	"github.com/amaranthswitch/amaranthswitch/fleet/event"
+	"github.com/amaranthswitch/amaranthswitch/fleet/gossip"
 	"github.com/amaranthswitch/amaranthswitch/fleet/replica"
 )
 
@@ -18,39 +20,56 @@
 var ErrForgotten = errors.New("entry: source forgot the changes")
 
 const (
-	// watchWait bounds how long a silent watch goes unnoticed.
-	watchWait clock.Millis = 1000
+	// watchWait bounds how long a silent watch of the reader goes unnoticed.
+	watchWait clock.Millis = 800
 	// answerWait is the time that the source has to answer beyond a watch.
-	answerWait clock.Millis = 500
-	// rereadEvery is the period at which everything is read again, in case a
-	// watch left a change out.
-	rereadEvery = 6 * clock.Second
+	answerWait clock.Millis = 400
+	// watchGap lets changes in quick succession come together.
+	watchGap clock.Millis = 50
+	// checkWait is the wait of a VM that only checks for changes.
+	checkWait clock.Millis = 1
+	// rereadEvery is the period at which the reader reads everything again, in
+	// case a watch left a change out.
+	rereadEvery = 8 * clock.Second
 	// firstRetry is the wait after a failed call. It doubles up to lastRetry.
 	firstRetry clock.Millis = 100
 	lastRetry  clock.Millis = 800
-	// freshFor is how long after its last answer the source counts as present.
-	freshFor = 3 * clock.Second
+	// oldAfter is the age of the copy at which a VM next to the reader asks
+	// the source itself. VMs further behind wait longer, by ageStep each, and
+	// oldAtMost bounds that.
+	oldAfter  clock.Millis = 1200
+	ageStep   clock.Millis = 250
+	oldAtMost clock.Millis = 1950
+	// awayAfter is the age of the copy at which the source counts as having
+	// been away. It exceeds the age that a copy reaches without that.
+	awayAfter clock.Millis = 2500
+	// ageCheck is the period at which the age is looked at.
+	ageCheck clock.Millis = 50
 )
 
-// keeper keeps the copy of what is published, and the catalog made of it.
+// keeper keeps the copy of what is published, and the catalog made of it. The
+// reader of the group follows the source; the others hear of changes from it
+// and ask the source only when nobody confirms their copy any more.
 type keeper struct {
 	source Source
 	clk    clock.Clock
 	log    *slog.Logger
 	// publish takes each new catalog.
 	publish func(c *catalog.Catalog)
-	// news is told of each new revision.
-	news func(rev replica.Revision)
+	// news is told of each change.
+	news func(u *replica.Update)
 
 	mu      sync.Mutex
 	replica *replica.Replica
 	builder *catalog.Builder
 
-	kick     chan struct{} // asks for a read at once
-	answered atomic.Int64  // clock.Millis of the last answer of the source
-	down     atomic.Bool
-	calls    atomic.Int64
-	failures atomic.Int64
+	readAt    clock.Millis  // when everything is to be read again
+	kick      chan struct{} // asks for a read at once
+	rank      atomic.Int64  // 0 for the reader
+	confirmed atomic.Int64  // clock.Millis at which the copy was complete
+	down      atomic.Bool
+	calls     atomic.Int64
+	failures  atomic.Int64
 }
 
 func newKeeper(a *Adapter, clk clock.Clock, log *slog.Logger, heartbeat clock.Millis, publish func(*catalog.Catalog)) *keeper {
@@ -58,7 +77,7 @@
 		source: a.Source, clk: clk, log: log, publish: publish,
 		replica: replica.New(),
 		kick:    make(chan struct{}, 1),
-		news:    func(replica.Revision) {},
+		news:    func(*replica.Update) {},
 	}
 	k.builder = catalog.NewBuilder(a.Decode, k.reject, 2*heartbeat)
 	return k
@@ -69,13 +88,26 @@
 		slog.String("key", string(item.Key)), slog.Uint64("revision", uint64(item.Revision)), slog.String("error", err.Error()))
 }
 
-// complete returns the revision up to which the copy holds every change.
-func (k *keeper) complete() replica.Revision {
+// held returns what this VM holds.
+func (k *keeper) held() gossip.Copy {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.replica.Complete()
+	return gossip.Copy{Complete: k.replica.Complete(), ConfirmedAt: clock.Millis(k.confirmed.Load())}
 }
 
+// confirm takes note that the copy was complete at the given time.
+func (k *keeper) confirm(at clock.Millis) {
+	for {
+		old := k.confirmed.Load()
+		if int64(at) <= old || k.confirmed.CompareAndSwap(old, int64(at)) {
+			return
+		}
+	}
+}
+
+// setRank sets the place of this VM in the group, 0 for the reader.
+func (k *keeper) setRank(rank int) { k.rank.Store(int64(rank)) }
+
 // since returns what changed after a revision, for another VM.
 func (k *keeper) since(after replica.Revision) replica.Update {
 	k.mu.Lock()
@@ -89,7 +121,8 @@
 	k.mu.Lock()
 	before := k.replica.Complete()
 	changed := k.replica.Apply(now, u)
-	k.builder.Take(now, changed)
+	away := before > 0 && now-clock.Millis(k.confirmed.Load()) >= awayAfter
+	k.builder.Take(now, changed, away)
 	complete := k.replica.Complete()
 	if len(changed) > 0 || before == 0 {
 		if c := k.builder.Build(complete); c != nil {
@@ -103,7 +136,7 @@
 			slog.Bool("removed", changed[i].Removed), slog.String("from", from), slog.Uint64("complete", uint64(complete)))
 	}
 	if complete > before {
-		k.news(complete)
+		k.news(&replica.Update{After: before, Complete: complete, Items: changed})
 	}
 }
 
@@ -124,82 +157,109 @@
 	}
 }
 
-// present reports whether the source answered lately.
-func (k *keeper) present() bool {
-	return k.clk.Now()-clock.Millis(k.answered.Load()) < freshFor
-}
-
-// run follows the source until ctx ends.
+// run follows the source, or waits until that is needed, until ctx ends.
 func (k *keeper) run(ctx context.Context) error {
 	retry := firstRetry
-	readAt := clock.Millis(0)
 	for ctx.Err() == nil {
-		var err error
-		if k.clk.Now() >= readAt {
-			if err = k.read(ctx); err == nil {
-				readAt = k.clk.Now() + rereadEvery
-			}
-		} else {
-			err = k.watch(ctx)
-		}
+		called := k.clk.Now()
+		err := k.step(ctx)
 		switch {
 		case err == nil:
 			retry = firstRetry
 		case errors.Is(err, ErrForgotten), errors.Is(err, errKicked):
-			readAt = 0
+			k.readAt = 0
 		default:
 			k.failed(ctx, err)
-			sleep(ctx, retry)
+			// A call that took long has waited enough.
+			sleep(ctx, max(1, retry-(k.clk.Now()-called)))
 			retry = min(2*retry, lastRetry)
 		}
 	}
 	return nil
 }
 
+// step makes the call that is due, or waits if none is.
+func (k *keeper) step(ctx context.Context) error {
+	now := k.clk.Now()
+	reader := k.rank.Load() == 0
+	old := now-clock.Millis(k.confirmed.Load()) >= k.old()
+	switch {
+	case (reader || old) && now >= k.readAt:
+		return k.read(ctx)
+	case reader:
+		return k.watch(ctx, watchWait)
+	case old:
+		return k.watch(ctx, checkWait)
+	}
+	select {
+	case <-k.kick:
+		return k.watch(ctx, checkWait)
+	case <-ctx.Done():
+	case <-time.After(ageCheck.Duration()):
+	}
+	return nil
+}
+
+// old returns the age at which the copy is too old to wait for others.
+func (k *keeper) old() clock.Millis {
+	return min(oldAtMost, oldAfter+ageStep*clock.Millis(max(0, k.rank.Load()-1)))
+}
+
 var errKicked = errors.New("entry: watch was interrupted")
 
 func (k *keeper) read(ctx context.Context) error {
 	bounded, cancel := context.WithTimeout(ctx, (watchWait + answerWait).Duration())
 	defer cancel()
 	k.calls.Add(1)
+	asked := k.clk.Now()
 	u, err := k.source.Read(bounded)
 	if err != nil {
 		return err
 	}
-	k.succeeded(ctx)
+	k.readAt = k.clk.Now() + rereadEvery
 	k.apply(u, "source")
+	k.succeeded(ctx, asked)
 	return nil
 }
 
-func (k *keeper) watch(ctx context.Context) error {
-	bounded, cancel := context.WithTimeout(ctx, (watchWait + answerWait).Duration())
+// watch waits for changes for at most the given time.
+func (k *keeper) watch(ctx context.Context, wait clock.Millis) error {
+	bounded, cancel := context.WithTimeout(ctx, (wait + answerWait).Duration())
 	defer cancel()
-	done := make(chan struct{})
-	defer close(done)
-	var kicked atomic.Bool
-	go func() {
-		select {
-		case <-k.kick:
-			kicked.Store(true)
-			cancel()
-		case <-done:
-		}
-	}()
+	kicked := k.interruptible(bounded, cancel)
 	k.calls.Add(1)
-	u, err := k.source.Watch(bounded, k.complete(), watchWait)
+	u, err := k.source.Watch(bounded, k.held().Complete, wait)
 	if err != nil {
 		if kicked.Load() {
 			return errKicked
 		}
 		return err
 	}
-	k.succeeded(ctx)
 	k.apply(u, "source")
+	k.succeeded(ctx, k.clk.Now())
+	if len(u.Items) > 0 && wait > watchGap {
+		sleep(ctx, watchGap)
+	}
 	return nil
 }
 
-func (k *keeper) succeeded(ctx context.Context) {
-	k.answered.Store(int64(k.clk.Now()))
+// interruptible calls cancel if a read is asked for before ctx ends, and tells
+// so in the result.
+func (k *keeper) interruptible(ctx context.Context, cancel func()) *atomic.Bool {
+	var kicked atomic.Bool
+	go func() {
+		select {
+		case <-k.kick:
+			kicked.Store(true)
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return &kicked
+}
+
+func (k *keeper) succeeded(ctx context.Context, at clock.Millis) {
+	k.confirm(at)
 	if k.down.CompareAndSwap(true, false) {
 		event.Log(ctx, k.log, event.PlatformBack)
 	}
--- a/amaranthd/entry/path.go
+++ b/amaranthd/entry/path.go
@@ -27,6 +27,8 @@
 	codec  Codec
 	engine *forward.Engine
 	clk    clock.Clock
+	// replyPort is the port at which callers take packets.
+	replyPort uint16
 
 	rooms   [][]byte // a packet each, with room for an envelope before it
 	resets  [][]byte
@@ -46,7 +48,7 @@
 	}
 	conn := pc.(*net.UDPConn)
 	_ = conn.SetReadBuffer(socketBufferBytes)
-	p = &path{conn: conn, batch: ipv4.NewPacketConn(conn), codec: a.Codec, engine: engine, clk: clk}
+	p = &path{conn: conn, batch: ipv4.NewPacketConn(conn), codec: a.Codec, engine: engine, clk: clk, replyPort: set.Packets.Port()}
 	p.makeBuffers()
 	return p, func() { _ = conn.Close() }, nil
 }
@@ -82,6 +84,7 @@
 			p.handle(now, p.rooms[i], p.in[i].N)
 		}
 		p.flush()
+		p.giveUp()
 	}
 }
 
@@ -105,8 +108,7 @@
 		if packet.Resetting {
 			return
 		}
-		reset := p.codec.Reset(p.resets[p.queued][:0], &packet)
-		p.queue(reset, netip.AddrPortFrom(packet.Caller.Addr(), uint16(p.conn.LocalAddr().(*net.UDPAddr).Port)))
+		p.queueReset(&packet)
 	case forward.Drop:
 	}
 }
@@ -123,6 +125,24 @@
 	p.queued++
 }
 
+// giveUp resets the flows that wait for an upstream found lost.
+func (p *path) giveUp() {
+	packets := p.engine.GivenUp()
+	for i := range packets {
+		if p.queued == batchPackets {
+			p.flush()
+		}
+		p.queueReset(&packets[i])
+	}
+	p.flush()
+}
+
+// queueReset queues a reset of a packet's flow towards its caller.
+func (p *path) queueReset(packet *forward.Packet) {
+	reset := p.codec.Reset(p.resets[p.queued][:0], packet)
+	p.queue(reset, netip.AddrPortFrom(packet.Caller.Addr(), p.replyPort))
+}
+
 // flush sends the batch. A datagram that cannot be sent is left out.
 func (p *path) flush() {
 	for sent := 0; sent < p.queued; {
--- a/amaranthd/entry/peers.go
+++ b/amaranthd/entry/peers.go
@@ -29,9 +29,10 @@
 	callWait clock.Millis = 1000
 	// maxMessageBytes holds the largest datagram between VMs.
 	maxMessageBytes = 1 << 16
-	// patience is how long a VM waits for the source to tell what another VM
-	// already knows, before it asks that VM.
-	patience clock.Millis = 100
+	// pullDelay spreads the questions of VMs that hear of a change at once.
+	pullDelay clock.Millis = 20
+	// newsBytes is the largest change that is told in a datagram.
+	newsBytes = 1000
 
 	methodSince rpc.Method = "published.since"
 )
@@ -58,11 +59,10 @@
 	mu    sync.Mutex
 	group *gossip.Group
 
-	aheadSince clock.Millis // time since which another VM knows more, 0 for none
-	alive      map[ident.VMID]bool
-	pulling    atomic.Bool
-	bytesOut   atomic.Int64
-	invalid    atomic.Int64
+	alive    map[ident.VMID]bool
+	pulling  atomic.Bool
+	bytesOut atomic.Int64
+	invalid  atomic.Int64
 }
 
 func newPeers(ctx context.Context, set *Settings, engine *forward.Engine, k *keeper, pool *rpc.Pool, server *rpc.Server, clk clock.Clock, log *slog.Logger) (p *peers, cleanup func(), err error) {
@@ -72,7 +72,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	self := gossip.Peer{ID: set.VM, Domain: set.Domain, Address: set.Peers}
+	self := gossip.Peer{ID: set.VM, Domain: set.Domain, Region: set.Region, Address: set.Peers}
 	now := clk.Now()
 	p = &peers{
 		conn: pc.(*net.UDPConn), pool: pool, engine: engine, keeper: k, clk: clk, log: log,
@@ -114,34 +114,37 @@
 		p.invalid.Add(1)
 		return
 	}
-	complete := p.keeper.complete()
+	held := p.keeper.held()
 	p.mu.Lock()
-	out := p.group.Receive(p.clk.Now(), &msg, complete)
+	out := p.group.Receive(p.clk.Now(), &msg, held)
+	confirmed := p.group.ConfirmedAt(held.Complete)
 	p.mu.Unlock()
 	p.send(out)
-	if msg.Complete > complete {
-		p.catchUp(ctx, complete == 0)
+	p.keeper.confirm(confirmed)
+	if msg.News != nil && msg.News.After <= held.Complete && msg.News.Complete > held.Complete {
+		p.keeper.apply(*msg.News, string(msg.From.ID))
+		return
+	}
+	if msg.Complete > held.Complete {
+		p.catchUp(ctx)
 	}
 }
 
-// catchUp asks a VM that knows more. Unless at once is set, the source has some
-// time to tell it first.
-func (p *peers) catchUp(ctx context.Context, atOnce bool) {
+// catchUp asks a VM that knows more, unless that is under way.
+func (p *peers) catchUp(ctx context.Context) {
 	if !p.pulling.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
 		defer p.pulling.Store(false)
-		if !atOnce {
-			sleep(ctx, patience)
-		}
+		sleep(ctx, pullDelay)
 		p.pull(ctx)
 	}()
 }
 
 // pull fetches what a VM that knows more knows.
 func (p *peers) pull(ctx context.Context) {
-	complete := p.keeper.complete()
+	complete := p.keeper.held().Complete
 	p.mu.Lock()
 	from, ok := p.group.Ahead(p.clk.Now(), complete)
 	p.mu.Unlock()
@@ -171,23 +174,26 @@
 	return nil
 }
 
+// round sends a round of messages and passes on what the group knows.
 func (p *peers) round(ctx context.Context) {
 	now := p.clk.Now()
-	complete := p.keeper.complete()
+	held := p.keeper.held()
 	loads := loadsOf(p.engine.Loads())
 	p.mu.Lock()
-	out := p.group.Round(now, complete, loads)
+	out := p.group.Round(now, held, loads)
+	rank, _ := p.group.Rank(now)
 	vms := p.group.VMs()
 	alive := p.group.Alive(now)
 	others := p.group.Others(now)
-	_, behind := p.group.Ahead(now, complete)
+	_, behind := p.group.Ahead(now, held.Complete)
 	p.mu.Unlock()
 	p.send(out)
+	p.keeper.setRank(rank)
 	p.engine.SetVMs(vms)
 	p.engine.SetOthers(sumsOf(others))
 	p.logChanges(ctx, alive)
 	if behind {
-		p.catchUp(ctx, true)
+		p.catchUp(ctx)
 	}
 }
 
@@ -208,20 +214,33 @@
 	p.alive = heard
 }
 
-// news tells other VMs of a new revision.
-func (p *peers) news(complete replica.Revision) {
+// news tells other VMs of a change.
+func (p *peers) news(u *replica.Update) {
+	if size(u) > newsBytes {
+		u = nil
+	}
+	held := p.keeper.held()
 	p.mu.Lock()
-	out := p.group.News(p.clk.Now(), complete)
+	out := p.group.News(p.clk.Now(), held, u)
 	p.mu.Unlock()
 	p.send(out)
 }
 
+// size returns about how many bytes an update takes.
+func size(u *replica.Update) (n int) {
+	const itemBytes = 32
+	for i := range u.Items {
+		n += itemBytes + len(u.Items[i].Key) + len(u.Items[i].Value)
+	}
+	return n
+}
+
 // leave tells other VMs that this one stops.
 func (p *peers) leave() {
 	p.mu.Lock()
 	p.group.Leave()
 	p.mu.Unlock()
-	p.news(p.keeper.complete())
+	p.round(context.Background())
 }
 
 func (p *peers) setSeeds(seeds []netip.AddrPort) {
@@ -245,7 +264,7 @@
 func loadsOf(sums map[catalog.Token]forward.Sum) []gossip.Load {
 	loads := make([]gossip.Load, 0, len(sums))
 	for t, s := range sums {
-		loads = append(loads, gossip.Load{Token: t, Open: s.Open, Busy: s.Busy})
+		loads = append(loads, gossip.Load{Token: t, Steady: s.Steady, Busy: s.Busy})
 	}
 	return loads
 }
@@ -253,7 +272,7 @@
 func sumsOf(loads map[catalog.Token]gossip.Load) map[catalog.Token]forward.Sum {
 	sums := make(map[catalog.Token]forward.Sum, len(loads))
 	for t, l := range loads {
-		sums[t] = forward.Sum{Open: l.Open, Busy: l.Busy}
+		sums[t] = forward.Sum{Steady: l.Steady, Busy: l.Busy}
 	}
 	return sums
 }
--- a/amaranthd/entry/settings.go
+++ b/amaranthd/entry/settings.go
@@ -17,6 +17,7 @@
 type Settings struct {
 	VM     ident.VMID       `json:"vm"`
 	Domain ident.DomainName `json:"domain"`
+	Region ident.RegionName `json:"region"`
 	// Packets receives the packets of the fabric.
 	Packets netip.AddrPort `json:"packets"`
 	// Ready answers the fabric's question whether this VM takes packets.
--- a/fleet/catalog/builder.go
+++ b/fleet/catalog/builder.go
@@ -40,10 +40,19 @@
 	}
 }
 
-// Take takes changed items in the order of their revisions.
-func (b *Builder) Take(now clock.Millis, items []replica.Item) {
+// lapseMillis is the time within which upstreams renew what lapsed while the
+// publisher was away.
+const lapseMillis = 2 * clock.Second
+
+// Take takes changed items in the order of their revisions. If the publisher
+// was away, upstreams that ceased to be published may only have failed to renew
+// that: those that were not draining go on getting flows for lapseMillis.
+func (b *Builder) Take(now clock.Millis, items []replica.Item, wasAway bool) {
 	for i := range items {
 		b.take(now, items[i])
+		if e := b.upstreams[items[i].Key]; wasAway && items[i].Removed && e != nil && e.RemovedAt == now {
+			e.LapsedUntil = now + lapseMillis
+		}
 	}
 }
 
--- a/fleet/catalog/catalog.go
+++ b/fleet/catalog/catalog.go
@@ -23,15 +23,19 @@
 	Removed bool
 	// RemovedAt is when this VM learned of the removal.
 	RemovedAt clock.Millis
+	// LapsedUntil is how long the removal may only mean that the upstream
+	// could not renew what it published, so that it goes on getting flows.
+	LapsedUntil clock.Millis
 	// ColdUntil is when the upstream has warmed up, seen from this VM.
 	ColdUntil clock.Millis
 	// Out is set while the upstream's failure domain is out of service.
 	Out bool
 }
 
-// TakesNew reports whether new flows may go to the upstream, cold or not.
-func (e *Entry) TakesNew() bool {
-	return !e.Removed && !e.Draining && !e.Out && e.Token != 0
+// TakesNew reports whether new flows may go to the upstream at now, cold or
+// not.
+func (e *Entry) TakesNew(now clock.Millis) bool {
+	return (!e.Removed || now < e.LapsedUntil) && !e.Draining && !e.Out && e.Token != 0
 }
 
 // Catalog is everything published at one time. It is immutable.
--- /dev/null
+++ b/fleet/catalog/catalog_test.go
@@ -0,0 +1,179 @@
+package catalog
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
+	"github.com/amaranthswitch/amaranthswitch/fleet/ident"
+	"github.com/amaranthswitch/amaranthswitch/fleet/replica"
+)
+
+// decodeWord reads values such as "web zone-a cold=500 draining".
+func decodeWord(item replica.Item) (c Change, err error) {
+	key, words := string(item.Key), strings.Fields(string(item.Value))
+	switch {
+	case strings.HasPrefix(key, "out/"):
+		c.DomainOut = ident.DomainName(strings.TrimPrefix(key, "out/"))
+	case key == "config":
+		var v uint64
+		if _, err = fmt.Sscan(words[0], &v); err != nil {
+			return c, err
+		}
+		c.Config = &Config{Version: ident.Version(v), Services: []Service{{Name: "web"}}}
+	case len(words) < 2:
+		return c, errors.New("too few words")
+	default:
+		u := &Upstream{
+			ID: UpstreamID(key), Service: ident.ServiceName(words[0]), Domain: ident.DomainName(words[1]), Slots: 1,
+			Address: netip.MustParseAddrPort("127.0.0.1:80"),
+		}
+		for _, w := range words[2:] {
+			u.Draining = u.Draining || w == "draining"
+			var cold int64
+			if _, err := fmt.Sscanf(w, "cold=%d", &cold); err == nil {
+				u.ColdMillis = clock.Millis(cold)
+			}
+		}
+		c.Upstream = u
+	}
+	return c, err
+}
+
+func item(rev replica.Revision, key, value string) replica.Item {
+	return replica.Item{Key: replica.Key(key), Value: []byte(value), Revision: rev, Created: rev}
+}
+
+func gone(rev replica.Revision, key, value string) replica.Item {
+	i := item(rev, key, value)
+	i.Removed = true
+	return i
+}
+
+func build(t *testing.T, now clock.Millis, items ...replica.Item) *Catalog {
+	t.Helper()
+	b := NewBuilder(decodeWord, func(replica.Item, error) {}, 1000)
+	b.Take(now, items, false)
+	c := b.Build(99)
+	assert.Assert(t, c != nil)
+	return c
+}
+
+func TestBuild(t *testing.T) {
+	tests := []struct {
+		name     string
+		items    []replica.Item
+		takesNew bool
+		known    bool // open flows are forwarded
+		cold     clock.Millis
+	}{
+		{"ready", []replica.Item{item(2, "u", "web a")}, true, true, 0},
+		{"draining", []replica.Item{item(2, "u", "web a draining")}, false, true, 0},
+		{"cold", []replica.Item{item(2, "u", "web a cold=500")}, true, true, 1500},
+		{"warmed up", []replica.Item{item(2, "u", "web a cold=500"), item(3, "u", "web a")}, true, true, 0},
+		{"removed", []replica.Item{item(2, "u", "web a"), gone(3, "u", "")}, false, true, 0},
+		{"removed before it was heard of", []replica.Item{gone(3, "u", "web a")}, false, true, 0},
+		{"became unreadable", []replica.Item{item(2, "u", "web a"), item(3, "u", "?")}, false, true, 0},
+		{"never readable", []replica.Item{item(2, "u", "?")}, false, false, 0},
+		{"its domain out", []replica.Item{item(2, "u", "web a"), item(3, "out/a", "")}, false, true, 0},
+		{"another domain out", []replica.Item{item(2, "u", "web a"), item(3, "out/b", "")}, true, true, 0},
+		{"its domain back", []replica.Item{item(2, "u", "web a"), item(3, "out/a", ""), gone(4, "out/a", "")}, true, true, 2000},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := build(t, 1000, append([]replica.Item{item(1, "config", "1")}, test.items...)...)
+			list := c.Serving("web")
+			assert.Equal(t, len(list) == 1, test.known)
+			if !test.known {
+				return
+			}
+			assert.Equal(t, list[0].TakesNew(1000), test.takesNew)
+			assert.Equal(t, list[0].ColdUntil, test.cold)
+			e, ok := c.ByToken(list[0].Token)
+			assert.Assert(t, ok && e == list[0])
+		})
+	}
+}
+
+// TestLapse removes upstreams after the publisher was away: one that was ready
+// goes on getting flows until it had time to come back, one that was draining
+// does not.
+func TestLapse(t *testing.T) {
+	b := NewBuilder(decodeWord, func(replica.Item, error) {}, 0)
+	b.Take(0, []replica.Item{item(1, "config", "1"), item(2, "u", "web a"), item(3, "v", "web a draining")}, false)
+	b.Take(5000, []replica.Item{gone(4, "u", ""), gone(4, "v", "")}, true)
+	list := b.Build(4).Serving("web")
+	assert.Assert(t, list[0].TakesNew(5000) && list[0].TakesNew(6999) && !list[0].TakesNew(7000))
+	assert.Assert(t, !list[1].TakesNew(5000))
+	b.Take(6000, []replica.Item{item(5, "u", "web a")}, false)
+	assert.Assert(t, b.Build(5).Serving("web")[0].TakesNew(9000))
+}
+
+func TestConfigNeverGoesBack(t *testing.T) {
+	c := build(t, 0, item(5, "config", "7"), item(6, "config", "3"))
+	assert.Equal(t, c.Config.Version, ident.Version(7))
+}
+
+func TestUnreadableItemsAreReported(t *testing.T) {
+	var rejected []string
+	b := NewBuilder(decodeWord, func(i replica.Item, err error) { rejected = append(rejected, fmt.Sprint(i.Key, ": ", err)) }, 0)
+	b.Take(0, []replica.Item{item(1, "config", "1"), item(2, "u", "?")}, false)
+	assert.DeepEqual(t, rejected, []string{"u: too few words"})
+	assert.Assert(t, b.Build(2) != nil)
+}
+
+// TestTokensAgree draws upstreams whose tokens collide, since only few
+// different ones are possible, and lets VMs learn of them in different order.
+func TestTokensAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 40).Draw(t, "upstreams")
+		entries := make([]*Entry, n)
+		for i := range entries {
+			entries[i] = &Entry{Upstream: Upstream{ID: UpstreamID(fmt.Sprint("u", i))}, Created: replica.Revision(rapid.IntRange(1, 5).Draw(t, "created"))}
+		}
+		shuffled := rapid.Permutation(entries).Draw(t, "order")
+		copies := make([]*Entry, n)
+		for i, e := range shuffled {
+			other := *e
+			copies[i] = &other
+		}
+		a, b := &Catalog{tokens: map[Token]*Entry{}}, &Catalog{tokens: map[Token]*Entry{}}
+		a.assignTokens(entries)
+		b.assignTokens(copies)
+		byToken := make(map[Token]UpstreamID)
+		for _, e := range entries {
+			if e.Token == 0 {
+				continue
+			}
+			assert.Equal(t, byToken[e.Token], UpstreamID(""))
+			byToken[e.Token] = e.ID
+			assert.Equal(t, b.tokens[e.Token].ID, e.ID)
+		}
+	})
+}
+
+// TestCollidingTokens gives two upstreams the same first token.
+func TestCollidingTokens(t *testing.T) {
+	first, second := &Entry{Upstream: Upstream{ID: "a"}, Created: 1}, &Entry{Upstream: Upstream{ID: "b"}, Created: 2}
+	c := &Catalog{tokens: map[Token]*Entry{tokensOf("b")[0]: first}}
+	c.assignTokens([]*Entry{second, first})
+	assert.Equal(t, second.Token, tokensOf("b")[1])
+	assert.Equal(t, c.tokens[tokensOf("b")[0]], first)
+}
+
+func BenchmarkBuild(b *testing.B) {
+	builder := NewBuilder(decodeWord, func(replica.Item, error) {}, 0)
+	builder.Take(0, []replica.Item{item(1, "config", "1")}, false)
+	for i := range 3300 {
+		builder.Take(0, []replica.Item{item(replica.Revision(2+i), fmt.Sprint("u", i), "web a")}, false)
+	}
+	for b.Loop() {
+		builder.Build(9999)
+	}
+}
--- a/fleet/event/event.go
+++ b/fleet/event/event.go
@@ -57,8 +57,8 @@
 	FlowPlaced     ID = 6003
 	FlowRefused    ID = 6004
 	FlowLost       ID = 6005
-	UpstreamSilent ID = 6006
-	UpstreamAnswer ID = 6007
+	UpstreamHealth ID = 6006
+	DomainHealth   ID = 6007
 	CatalogTaken   ID = 6008
 )
 
@@ -84,8 +84,8 @@
 	FlowPlaced:        "flowPlaced",
 	FlowRefused:       "flowRefused",
 	FlowLost:          "flowLost",
-	UpstreamSilent:    "upstreamSilent",
-	UpstreamAnswer:    "upstreamAnswers",
+	UpstreamHealth:    "upstreamHealth",
+	DomainHealth:      "domainHealth",
 	CatalogTaken:      "catalogTaken",
 	ConfigAccepted:    "configAccepted",
 	ConfigInvalid:     "configInvalid",
@@ -119,7 +119,8 @@
 	FlowPlaced:        slog.LevelDebug,
 	FlowRefused:       slog.LevelWarn,
 	FlowLost:          slog.LevelWarn,
-	UpstreamSilent:    slog.LevelWarn,
+	UpstreamHealth:    slog.LevelWarn,
+	DomainHealth:      slog.LevelWarn,
 	ConfigInvalid:     slog.LevelError,
 	ConfigConflict:    slog.LevelError,
 	ConfigOlder:       slog.LevelWarn,
--- a/fleet/forward/engine.go
+++ b/fleet/forward/engine.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"net/netip"
 	"sync"
 	"sync/atomic"
 
@@ -11,8 +12,9 @@
 
 // target is an upstream with its load.
 type target struct {
-	entry *catalog.Entry
-	load  *upstreamLoad
+	entry  *catalog.Entry
+	load   *upstreamLoad
+	domain *health
 }
 
 // view is the catalog in force with the loads of its upstreams.
@@ -20,6 +22,7 @@
 	catalog *catalog.Catalog
 	serving map[ident.ServiceName][]*target
 	tokens  map[catalog.Token]*target
+	domains map[ident.DomainName]*health
 }
 
 // loadKey tells the lives of an upstream apart.
@@ -30,8 +33,9 @@
 
 // Seams report what an Engine concludes. They must not block.
 type Seams struct {
-	// Silent is told when an upstream falls silent or answers again.
-	Silent func(u *catalog.Entry, silent bool)
+	// Health is told when the belief whether an upstream, or any upstream of
+	// its failure domain, answers changes.
+	Health func(u *catalog.Entry, wholeDomain bool, from, to string)
 	// Placed is told of each opening packet with what was decided.
 	Placed func(p *Packet, d *Decision, u *catalog.Entry)
 	// Lost is told of each flow that is reset since its upstream is lost.
@@ -56,11 +60,15 @@
 	view   atomic.Pointer[view]
 	vms    atomic.Pointer[[]ident.VMID]
 	flows  *table
-	routes routeStats
+	routes routeTable
 
-	mu    sync.Mutex // guards loads and the replacement of the view
-	loads map[loadKey]*upstreamLoad
-	swept int
+	mu      sync.Mutex // guards what follows and the replacement of the view
+	loads   map[loadKey]*upstreamLoad
+	domains map[ident.DomainName]*health
+	given   []*upstreamLoad // lost upstreams whose flows are not yet given up
+
+	swept     int
+	learnedAt clock.Millis
 
 	// Forwarded, Placed and Unplaced count packets by what was decided.
 	Forwarded, Placed atomic.Int64
@@ -73,13 +81,14 @@
 // New returns an engine of the given VM without a catalog.
 func New(self ident.VMID, domain ident.DomainName, opts ...Option) *Engine {
 	e := &Engine{
-		self:   self,
-		domain: domain,
-		policy: DefaultPolicy(),
-		flows:  newTable(),
-		loads:  make(map[loadKey]*upstreamLoad),
+		self:    self,
+		domain:  domain,
+		policy:  DefaultPolicy(),
+		flows:   newTable(),
+		loads:   make(map[loadKey]*upstreamLoad),
+		domains: make(map[ident.DomainName]*health),
 		seams: Seams{
-			Silent: func(*catalog.Entry, bool) {},
+			Health: func(*catalog.Entry, bool, string, string) {},
 			Placed: func(*Packet, *Decision, *catalog.Entry) {},
 			Lost:   func(*Packet, *catalog.Entry) {},
 		},
@@ -110,17 +119,28 @@
 			}
 			loads[key] = load
 		}
-		v.tokens[t] = &target{entry: entry, load: load}
+		v.tokens[t] = &target{entry: entry, load: load, domain: e.domainHealth(entry.Domain)}
 	})
 	for _, service := range c.Config.Services {
 		for _, entry := range c.Serving(service.Name) {
-			if load := loads[loadKey{id: entry.ID, born: entry.Born}]; load != nil {
-				v.serving[service.Name] = append(v.serving[service.Name], &target{entry: entry, load: load})
+			if t := v.tokens[entry.Token]; t != nil {
+				v.serving[service.Name] = append(v.serving[service.Name], t)
 			}
 		}
 	}
 	e.loads = loads
 	e.view.Store(v)
+	e.routes.keep(func(a netip.AddrPort) bool { _, ok := c.Route(a); return ok })
+}
+
+// domainHealth returns the health of a failure domain. The caller holds mu.
+func (e *Engine) domainHealth(name ident.DomainName) *health {
+	h := e.domains[name]
+	if h == nil {
+		h = &health{}
+		e.domains[name] = h
+	}
+	return h
 }
 
 // SetVMs sets the VMs that share the load of cold upstreams, self included.
@@ -143,6 +163,10 @@
 	left := s.sweep(now)
 	e.swept++
 	e.Flows.Store(int64(left) * shardCount)
+	if now-e.learnedAt >= learnEvery {
+		e.learnedAt = now
+		e.routes.learn()
+	}
 }
 
 // Handle decides about a packet of a caller.
@@ -173,26 +197,35 @@
 	defer s.mu.Unlock()
 	f, known := s.flows[k]
 	if !known || f.target.load != t.load {
-		f.uncountIfAny()
-		f = flow{target: t, seq: p.Seq, ack: p.Ack}
+		f.end()
+		f = flow{target: t, route: e.routes.of(p.Service), seq: p.Seq, ack: p.Ack}
 	}
 	e.learn(now, &f, p)
 	f.seen = now
+	if p.Bytes > 0 && !f.closed && isLost(now, &f) {
+		f.end()
+		s.flows[k] = f
+		e.seams.Lost(p, t.entry)
+		return e.refuse(UpstreamLost)
+	}
 	s.flows[k] = f
 	return e.forward(t, 0)
 }
 
-func (f *flow) uncountIfAny() {
-	if f.target != nil {
-		f.uncount()
-	}
+// isLost reports whether a flow that sends data is given up: nothing answers
+// on its upstream, or nothing in the whole failure domain, nor the flow itself.
+// A flow of its own upstream that was not found lost may only have come upon
+// other ones that are.
+func isLost(now clock.Millis, f *flow) bool {
+	cond, _ := f.target.load.health.condition()
+	whole, _ := f.target.domain.condition()
+	return cond == lost || whole == lost && f.stallAt == now
 }
 
 // learn updates the flow and its upstream's load and health from a packet.
 func (e *Engine) learn(now clock.Millis, f *flow, p *Packet) {
 	if p.Resetting || p.Closing {
-		f.uncount()
-		f.closed = true
+		f.end()
 		return
 	}
 	if f.closed {
@@ -213,32 +246,76 @@
 		return
 	}
 	end := p.Seq + uint32(p.Bytes)
-	if int32(end-f.seq) > 0 {
-		f.seq = end
-		f.begin(now)
-		e.routes.requested(p.Service, f)
+	if int32(end-f.seq) <= 0 {
+		e.repeated(now, f)
 		return
 	}
-	e.stalled(now, f)
+	f.seq = end
+	if f.busyAt == 0 {
+		f.sentAt = now
+		if f.answers == 1 {
+			f.route.repeated()
+		}
+	}
+	f.begin(now)
 }
 
 // proved takes note of a sign that the flow's upstream answers: the caller
 // completed the opening, or acknowledged more.
 func (e *Engine) proved(now clock.Millis, f *flow) {
-	if f.target.load.answered(now) {
-		e.seams.Silent(f.target.entry, false)
+	if before := f.target.load.health.answered(now); before != answering {
+		e.seams.Health(f.target.entry, false, before.String(), answering.String())
+	}
+	if before := f.target.domain.answered(now); before != answering {
+		e.seams.Health(f.target.entry, true, before.String(), answering.String())
 	}
 }
 
-// stalled counts a flow that waits in vain once between two signs of life.
-func (e *Engine) stalled(now clock.Millis, f *flow) {
-	if f.stallAt != 0 && f.stallAt >= f.target.load.provedAt() {
-		return
+// repeated takes note that the caller sent something again, which it does
+// without an acknowledgement.
+func (e *Engine) repeated(now clock.Millis, f *flow) {
+	if now-f.sentAt < repeatAfter {
+		return // out of order, or queued with the first one
+	}
+	cond, changed := f.target.load.health.stall(now, f.stallAt, f.target.load, 1)
+	if changed {
+		e.seams.Health(f.target.entry, false, "", cond.String())
+		if cond == lost {
+			e.giveUp(f.target.load)
+		}
+	}
+	whole, changed := f.target.domain.stall(now, f.stallAt, f.target.load, 2)
+	if changed {
+		e.seams.Health(f.target.entry, true, "", whole.String())
 	}
 	f.stallAt = now
-	if f.target.load.stall(now) {
-		e.seams.Silent(f.target.entry, true)
+}
+
+// repeatAfter is the least time after which a caller sends something again.
+const repeatAfter clock.Millis = 150
+
+func (e *Engine) giveUp(l *upstreamLoad) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.given = append(e.given, l)
+}
+
+// GivenUp returns the packets to be answered with a reset: those of the flows
+// that wait for an upstream just found lost, with what they sent after its last
+// sign of life. What was sent before may still be answered.
+func (e *Engine) GivenUp() (packets []Packet) {
+	e.mu.Lock()
+	given := e.given
+	e.given = nil
+	e.mu.Unlock()
+	for _, l := range given {
+		_, proved := l.health.condition()
+		for i := range e.flows.shards {
+			packets = e.flows.shards[i].giveUp(l, proved, packets)
+		}
 	}
+	e.Refused[UpstreamLost].Add(int64(len(packets)))
+	return packets
 }
 
 func (e *Engine) forward(t *target, token catalog.Token) Decision {
@@ -256,18 +333,13 @@
 	return Decision{Action: Refuse, Reason: r}
 }
 
-// Loads returns the load that this VM sees on each upstream, by token.
+// Loads returns the load that passes this VM on each upstream, by token.
 func (e *Engine) Loads() map[catalog.Token]Sum {
 	sums := make(map[catalog.Token]Sum)
-	v := e.view.Load()
-	if v == nil {
-		return sums
-	}
-	for _, list := range v.serving {
-		for _, t := range list {
-			s := Sum{Open: max(0, t.load.open.Load()), Busy: max(0, t.load.busy.Load())}
-			if t.entry.Token != 0 && s != (Sum{}) {
-				sums[t.entry.Token] = s
+	if v := e.view.Load(); v != nil {
+		for token, t := range v.tokens {
+			if s := t.load.own(); token == t.entry.Token && s != (Sum{}) {
+				sums[token] = s
 			}
 		}
 	}
@@ -280,9 +352,9 @@
 	if v == nil {
 		return
 	}
-	for _, list := range v.serving {
-		for _, t := range list {
-			s := sums[t.entry.Token]
+	for token, t := range v.tokens {
+		if token == t.entry.Token {
+			s := sums[token]
 			t.load.others.Store(&s)
 		}
 	}
--- a/fleet/forward/flows.go
+++ b/fleet/forward/flows.go
@@ -46,17 +46,19 @@
 // flow is what is remembered of a flow.
 type flow struct {
 	target  *target
+	route   *routeStat
 	opening uint32 // sequence number of the opening packet, if it was seen
 	seq     uint32 // end of the data that the caller sent
 	ack     uint32 // end of the answer that the caller acknowledged
 	seen    clock.Millis
+	sentAt  clock.Millis // first sending of what waits for an answer
 	busyAt  clock.Millis // last packet of the request under way, 0 for none
 	stallAt clock.Millis // time at which the flow was counted as stalled
-	// answers is the number of requests that were answered.
-	answers uint16
-	opened  bool // the opening packet passed this VM
-	linked  bool // a packet after the opening one passed
-	counted bool // the flow counts as open
+	steady  int32        // part in the steady load of the upstream
+	answers uint16       // requests that were answered
+	opened  bool         // the opening packet passed this VM
+	linked  bool         // a packet after the opening one passed
+	counted bool         // the flow counts as open
 	closed  bool
 }
 
@@ -86,16 +88,22 @@
 
 // count adds the flow to the load of its upstream, once.
 func (f *flow) count() {
-	if !f.counted {
-		f.counted = true
-		f.target.load.open.Add(1)
+	if f.counted {
+		return
+	}
+	f.counted = true
+	f.route.open.Add(1)
+	if !f.route.short() {
+		f.steady = f.route.steady.Load()
+		f.target.load.steady.Add(f.steady)
 	}
 }
 
-// begin starts a request.
+// begin starts a request, or goes on with one.
 func (f *flow) begin(now clock.Millis) {
 	if f.busyAt == 0 {
 		f.target.load.busy.Add(1)
+		f.route.busy.Add(1)
 	}
 	f.busyAt = now
 }
@@ -105,15 +113,31 @@
 	if f.busyAt != 0 {
 		f.busyAt = 0
 		f.target.load.busy.Add(-1)
+		f.route.busy.Add(-1)
 	}
 }
 
 // uncount takes the flow out of the load of its upstream.
 func (f *flow) uncount() {
 	f.finish()
-	if f.counted {
-		f.counted = false
-		f.target.load.open.Add(-1)
+	if !f.counted {
+		return
+	}
+	f.counted = false
+	f.route.open.Add(-1)
+	f.target.load.steady.Add(-f.steady)
+	f.steady = 0
+}
+
+// end takes the flow out of all counts for good.
+func (f *flow) end() {
+	if f.target == nil || f.closed {
+		return
+	}
+	f.uncount()
+	f.closed = true
+	if f.answers <= 1 {
+		f.route.endedShort()
 	}
 }
 
@@ -125,7 +149,7 @@
 		idle := now - f.seen
 		switch {
 		case idle > idleLife || f.closed && idle > closedLife:
-			f.uncount()
+			f.end()
 			delete(s.flows, k)
 		case f.busyAt != 0 && now-f.busyAt > busyLife:
 			f.finish()
@@ -134,3 +158,25 @@
 	}
 	return len(s.flows)
 }
+
+// giveUp ends the flows to l that wait for an answer to what they sent after
+// the given time, and appends a packet of each.
+func (s *shard) giveUp(l *upstreamLoad, after clock.Millis, packets []Packet) []Packet {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for k, f := range s.flows {
+		if f.target.load != l || f.closed || f.busyAt == 0 || f.sentAt <= after {
+			continue
+		}
+		packets = append(packets, Packet{
+			Caller: endOf(k[0:6]), Service: endOf(k[6:12]), Ack: f.ack, Opening: !f.linked,
+		})
+		f.end()
+		s.flows[k] = f
+	}
+	return packets
+}
+
+func endOf(b []byte) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte(b)), binary.BigEndian.Uint16(b[4:]))
+}
--- /dev/null
+++ b/fleet/forward/health.go
@@ -0,0 +1,109 @@
+package forward
+
+import (
+	"sync"
+
+	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
+)
+
+const (
+	// silentFlows is the number of flows that must wait in vain for an answer
+	// before an upstream counts as silent: a lost datagram stalls only one.
+	silentFlows = 2
+	// lostFlows is the number of such flows after which open flows are given
+	// up, and lostAfter the time without any sign of life that must have passed.
+	lostFlows              = 3
+	lostAfter clock.Millis = 250
+	// firstTrial is the wait before a silent upstream gets a flow again. It
+	// doubles with each trial up to lastTrial.
+	firstTrial = 1 * clock.Second
+	lastTrial  = 4 * clock.Second
+)
+
+// condition is what is believed of an upstream or of a failure domain.
+type condition uint8
+
+const (
+	// answering upstreams get new flows.
+	answering condition = iota
+	// silent upstreams get no new flows but trials.
+	silent
+	// lost upstreams also get no packets of open flows.
+	lost
+)
+
+// String returns the condition as logs show it.
+func (c condition) String() string { return [...]string{"answering", "silent", "lost"}[c] }
+
+// health tells from what passes whether an upstream, or any upstream of a
+// failure domain, answers. It counts the flows that wait in vain since the last
+// sign of life (outlier ejection by passive checks).
+type health struct {
+	mu           sync.Mutex
+	proved       clock.Millis // last sign of life
+	stalled      int          // flows that wait in vain since then
+	source       any          // whom the first of them waits for
+	several      bool         // others wait for someone else
+	cond         condition
+	nextTrial    clock.Millis
+	trialBackoff clock.Millis
+}
+
+// answered records a sign of life and returns what was believed before.
+func (h *health) answered(now clock.Millis) (before condition) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	before = h.cond
+	h.proved, h.stalled, h.source, h.several = now, 0, nil, false
+	h.cond, h.trialBackoff = answering, 0
+	return before
+}
+
+// stall records that one more flow waits in vain for source, and returns the
+// new condition if it changed. A flow counts once between two signs of life,
+// and countedAt is when it was counted last. least is how many sources must be
+// waited for.
+func (h *health) stall(now, countedAt clock.Millis, source any, least int) (cond condition, changed bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if countedAt == 0 || countedAt < h.proved {
+		h.stalled++
+	}
+	if h.source == nil {
+		h.source = source
+	}
+	h.several = h.several || h.source != source
+	before := h.cond
+	if least > 1 && !h.several {
+		return h.cond, false
+	}
+	if h.stalled >= silentFlows && h.cond == answering {
+		h.cond = silent
+		h.trialBackoff = firstTrial
+		h.nextTrial = now + firstTrial
+	}
+	if h.stalled >= lostFlows && now-h.proved >= lostAfter {
+		h.cond = lost
+	}
+	return h.cond, h.cond != before
+}
+
+// condition returns what is believed, and when the last sign of life came.
+func (h *health) condition() (cond condition, proved clock.Millis) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.cond, h.proved
+}
+
+// trial reports whether something silent may be tried with one flow, and
+// counts the trial if so.
+func (h *health) trial(now clock.Millis) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.cond == answering || now < h.nextTrial {
+		return false
+	}
+	h.trialBackoff = min(2*h.trialBackoff, lastTrial)
+	h.nextTrial = now + h.trialBackoff
+	return true
+}
--- a/fleet/forward/place.go
+++ b/fleet/forward/place.go
@@ -1,9 +1,6 @@
 package forward
 
 import (
-	"net/netip"
-	"sync"
-
 	"github.com/amaranthswitch/amaranthswitch/fleet/catalog"
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
 	"github.com/amaranthswitch/amaranthswitch/fleet/config"
@@ -11,23 +8,24 @@
 	"github.com/amaranthswitch/amaranthswitch/fleet/warmup"
 )
 
-// Policy weighs upstreams for new flows. Each upstream costs the requests under
-// way and the open flows per slot, by weight, and the flow goes to the one that
-// costs least (join the shortest queue, with locality).
+// Policy weighs upstreams for new flows. All weights are in requests under way
+// per slot, and the flow goes to the upstream that costs least (join the
+// shortest queue, with locality).
 type Policy struct {
-	// RemotePenalty is what an upstream in another failure domain costs more,
-	// in requests under way per slot.
-	RemotePenalty float64
-	// Flows weighs an open flow of a route whose flows carry one request,
-	// LongFlows of a route whose flows carry many, in requests under way.
-	Flows, LongFlows float64
-	// LongBusy weighs a request under way for a flow that carries many.
-	LongBusy float64
+	// Remote and RemoteLong are what an upstream in another failure domain
+	// costs more for a flow that carries one request, and for one that carries
+	// many.
+	Remote, RemoteLong float64
+	// Steady weighs the expected load of open flows for a flow that carries
+	// one request.
+	Steady float64
+	// BusyLong weighs a request under way for a flow that carries many.
+	BusyLong float64
 }
 
 // DefaultPolicy returns the policy that is used unless another one is set.
 func DefaultPolicy() Policy {
-	return Policy{RemotePenalty: 2, Flows: 0.02, LongFlows: 1, LongBusy: 0.25}
+	return Policy{Remote: 1, RemoteLong: 0.5, Steady: 0.5, BusyLong: 0.02}
 }
 
 // open places a new flow, or sends a copy of its opening packet after the
@@ -37,9 +35,9 @@
 	s := e.flows.shard(k)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	f, known := s.flows[k]
+	f := s.flows[k]
 	var except *target
-	if known && f.opened && f.opening == p.Seq && !f.closed {
+	if f.opened && f.opening == p.Seq && !f.closed {
 		if t := e.again(now, v, &f); t != nil {
 			f.seen = now
 			s.flows[k] = f
@@ -48,7 +46,7 @@
 		except = f.target
 	}
 	t := e.place(now, v, route, p, k, except)
-	if t == nil && except != nil {
+	if t == nil {
 		t = except
 	}
 	if t == nil {
@@ -56,12 +54,10 @@
 		e.seams.Placed(p, &d, nil)
 		return d
 	}
-	f.uncountIfAny()
-	f = flow{target: t, opening: p.Seq, seq: p.Seq + 1, opened: true, seen: now}
+	f.end()
+	f = flow{target: t, route: e.routes.of(p.Service), opening: p.Seq, seq: p.Seq + 1, opened: true, seen: now, sentAt: now}
 	f.count()
-	if !e.routes.long(p.Service) {
-		f.begin(now) // The request follows within a round trip.
-	}
+	f.begin(now) // The request follows within a round trip.
 	s.flows[k] = f
 	e.Placed.Add(1)
 	return e.placed(p, t)
@@ -71,9 +67,6 @@
 // went, so that a flow never opens on two upstreams, unless that upstream is
 // silent or takes no new flows any more, in which case it returns nil.
 func (e *Engine) again(now clock.Millis, v *view, f *flow) *target {
-	if !f.linked {
-		e.stalled(now, f)
-	}
 	t, ok := v.tokens[f.target.entry.Token]
 	if !ok || t.load != f.target.load {
 		return nil
@@ -81,12 +74,20 @@
 	if f.linked {
 		return t
 	}
-	if !t.entry.TakesNew() || t.load.silent() {
+	e.repeated(now, f)
+	if !t.entry.TakesNew(now) || !e.answers(t) {
 		return nil
 	}
 	return t
 }
 
+// answers reports whether t is believed to answer from here.
+func (e *Engine) answers(t *target) bool {
+	cond, _ := t.load.health.condition()
+	whole, _ := t.domain.condition()
+	return cond == answering && whole != lost
+}
+
 func (e *Engine) placed(p *Packet, t *target) Decision {
 	d := e.forward(t, t.entry.Token)
 	e.seams.Placed(p, &d, t.entry)
@@ -100,11 +101,11 @@
 	hash := k.hash()
 	service := pickService(route, hash)
 	list := v.serving[service]
-	long := e.routes.long(p.Service)
+	long := !e.routes.of(p.Service).short()
 	var best, bestSilent, bestCold *target
 	var bestCost, bestSilentCost, bestColdCost float64
 	for i, t := range list {
-		if !t.entry.TakesNew() || except != nil && t.load == except.load {
+		if !t.entry.TakesNew(now) || except != nil && t.load == except.load {
 			continue
 		}
 		cost := e.cost(t, long) + tieBreak(hash, i)
@@ -113,8 +114,8 @@
 			if bestCold == nil || cost < bestColdCost {
 				bestCold, bestColdCost = t, cost
 			}
-		case t.load.silent():
-			if e.isLocal(t) && p.Copies == 0 && t.load.trial(now) {
+		case !e.answers(t):
+			if p.Copies == 0 && tryAgain(now, t) {
 				return t
 			}
 			if bestSilent == nil || cost < bestSilentCost {
@@ -133,17 +134,26 @@
 	return bestSilent
 }
 
+// tryAgain reports whether a flow may go to t to see whether it answers again.
+// While its whole failure domain does not answer, one upstream stands for all.
+func tryAgain(now clock.Millis, t *target) bool {
+	if whole, _ := t.domain.condition(); whole != answering {
+		return t.domain.trial(now)
+	}
+	return t.load.health.trial(now)
+}
+
 // cost returns what it costs to place a flow on t, in requests under way per
 // slot.
 func (e *Engine) cost(t *target, long bool) float64 {
 	s := t.load.sum()
-	busy, flows := 1.0, e.policy.Flows
+	busy, steady, remote := 1.0, e.policy.Steady, e.policy.Remote
 	if long {
-		busy, flows = e.policy.LongBusy, e.policy.LongFlows
+		busy, steady, remote = e.policy.BusyLong, 1, e.policy.RemoteLong
 	}
-	cost := (busy*float64(s.Busy) + flows*float64(s.Open)) / float64(max(1, t.entry.Slots))
+	cost := (busy*float64(s.Busy) + steady*float64(s.Steady)/1000) / float64(max(1, t.entry.Slots))
 	if !e.isLocal(t) {
-		cost += e.policy.RemotePenalty
+		cost += remote
 	}
 	return cost
 }
@@ -190,51 +200,3 @@
 	h := (hash + uint64(i)*0x9e3779b97f4a7c15) * 0xd6e8feb86659fd93
 	return float64(h>>40) / (1 << 24) * 1e-3
 }
-
-const (
-	// maxAnswers bounds the count of a flow's answers.
-	maxAnswers = 1000
-	// routeSample is the number of flows after which older ones count half.
-	routeSample = 256
-)
-
-// routeStats tells routes whose flows carry many requests from those whose
-// flows carry one. The zero value is ready for use.
-type routeStats struct {
-	mu    sync.RWMutex
-	stats map[netip.AddrPort]routeStat
-}
-
-type routeStat struct {
-	flows, repeats int
-}
-
-// requested counts a request of a flow.
-func (r *routeStats) requested(address netip.AddrPort, f *flow) {
-	if f.answers > 1 {
-		return
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.stats == nil {
-		r.stats = make(map[netip.AddrPort]routeStat)
-	}
-	s := r.stats[address]
-	if f.answers == 0 {
-		s.flows++
-	} else {
-		s.repeats++
-	}
-	if s.flows > routeSample {
-		s.flows, s.repeats = s.flows/2, s.repeats/2
-	}
-	r.stats[address] = s
-}
-
-// long reports whether most flows of a route carry more than one request.
-func (r *routeStats) long(address netip.AddrPort) bool {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	s := r.stats[address]
-	return 2*s.repeats > s.flows
-}
--- a/fleet/gossip/group.go
+++ b/fleet/gossip/group.go
@@ -6,6 +6,8 @@
 	"net/netip"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/amaranthswitch/amaranthswitch/fleet/catalog"
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
 	"github.com/amaranthswitch/amaranthswitch/fleet/ident"
@@ -14,10 +16,11 @@
 
 const (
 	// nearEach and farEach bound the messages of a round to VMs of the own
-	// and of other failure domains.
-	nearEach = 4
-	farEach  = 2
-	// knownEach is the number of other VMs that a message names.
+	// and of other failure domains, and readerEach those of the reader.
+	nearEach   = 4
+	farEach    = 1
+	readerEach = 8
+	// knownEach is the number of other VMs that a greeting names.
 	knownEach = 4
 	// aliveFor is how long a VM counts as alive after its last message.
 	aliveFor = 2 * clock.Second
@@ -28,18 +31,20 @@
 	forgetAfter = 60 * clock.Second
 	// loadLife is how long a reported load is believed.
 	loadLife clock.Millis = 1500
+	// maxAge bounds the age that messages tell.
+	maxAge = 60 * clock.Second
 )
 
 // member is what is known of another VM.
 type member struct {
-	peer     Peer
-	started  clock.Millis
-	number   uint64
-	heard    clock.Millis // 0 if it never spoke to this VM
-	named    clock.Millis // last time that another VM named it
-	leaving  bool
-	complete replica.Revision
-	loads    []Load
+	peer    Peer
+	started clock.Millis
+	number  uint64
+	heard   clock.Millis // 0 if it never spoke to this VM
+	named   clock.Millis // last time that another VM named it
+	leaving bool
+	copy    Copy
+	loads   []Load
 }
 
 // Group is one VM's knowledge of the others. It is not safe for concurrent use.
@@ -72,35 +77,44 @@
 func (g *Group) Leave() { g.leaving = true }
 
 // Round returns the messages of one round.
-func (g *Group) Round(now clock.Millis, complete replica.Revision, loads []Load) (out []Send) {
+func (g *Group) Round(now clock.Millis, held Copy, loads []Load) (out []Send) {
 	g.rounds++
 	g.forget(now)
 	greet := g.rounds%silentEvery == 1
-	for _, to := range g.targets(now, greet) {
-		out = append(out, Send{To: to, Message: g.message(now, complete, loads, greet)})
+	rank, _ := g.Rank(now)
+	for _, to := range g.targets(now, rank == 0, greet) {
+		out = append(out, Send{To: to, Message: g.message(now, held, greet, loads)})
 	}
 	return out
 }
 
-// News returns messages about a new revision to a bounded number of VMs.
-func (g *Group) News(now clock.Millis, complete replica.Revision) (out []Send) {
-	for _, to := range g.targets(now, false) {
-		out = append(out, Send{To: to, Message: g.message(now, complete, nil, false)})
+// News returns messages about a change. The reader tells as many VMs as it
+// may, the others pass on to a few what they heard.
+func (g *Group) News(now clock.Millis, held Copy, news *replica.Update) (out []Send) {
+	rank, _ := g.Rank(now)
+	for _, to := range g.targets(now, rank == 0, false) {
+		msg := g.message(now, held, false, nil)
+		msg.News = news
+		out = append(out, Send{To: to, Message: msg})
 	}
 	return out
 }
 
-func (g *Group) message(now clock.Millis, complete replica.Revision, loads []Load, asks bool) Message {
+func (g *Group) message(now clock.Millis, held Copy, greet bool, loads []Load) Message {
 	g.number++
-	return Message{
+	msg := Message{
 		From: g.self, Started: g.started, Number: g.number, Leaving: g.leaving,
-		Complete: complete, Asks: asks, Known: g.sample(now), Loads: loads,
+		Complete: held.Complete, Age: min(maxAge, now-held.ConfirmedAt), Asks: greet, Loads: loads,
 	}
+	if greet {
+		msg.Known = g.sample(now)
+	}
+	return msg
 }
 
 // targets picks living VMs at random, and the silent ones and the seeds if
 // they are to be greeted.
-func (g *Group) targets(now clock.Millis, greet bool) (to []netip.AddrPort) {
+func (g *Group) targets(now clock.Millis, reader, greet bool) (to []netip.AddrPort) {
 	var near, far, silent []netip.AddrPort
 	for _, m := range g.sorted() {
 		switch {
@@ -112,7 +126,11 @@
 			far = append(far, m.peer.Address)
 		}
 	}
-	to = append(g.pick(near, nearEach), g.pick(far, farEach)...)
+	nearMost, farMost := nearEach, farEach
+	if reader {
+		nearMost, farMost = readerEach, readerEach
+	}
+	to = append(g.pick(near, nearMost), g.pick(far, farMost)...)
 	if greet {
 		to = append(to, g.pick(silent, nearEach)...)
 		for _, seed := range g.seeds {
@@ -124,6 +142,27 @@
 	return to
 }
 
+// Rank returns the place of this VM among the living VMs of its region, 0 for
+// the reader, which follows the publisher for all of them, and how many there
+// are. VMs that are cut off from each other have a reader each.
+func (g *Group) Rank(now clock.Millis) (rank, of int) {
+	own := readerWeight(g.self.ID)
+	of = 1
+	for id, m := range g.members {
+		if m.peer.Region != g.self.Region || !m.alive(now) {
+			continue
+		}
+		of++
+		if w := readerWeight(id); w > own || w == own && id < g.self.ID {
+			rank++
+		}
+	}
+	return rank, of
+}
+
+// readerWeight orders VMs alike on all of them.
+func readerWeight(id ident.VMID) uint64 { return xxhash.Sum64String(string(id)) }
+
 func (g *Group) pick(list []netip.AddrPort, n int) []netip.AddrPort {
 	g.rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 	return list[:min(n, len(list))]
@@ -154,7 +193,7 @@
 }
 
 // Receive takes a message and returns the answers to it.
-func (g *Group) Receive(now clock.Millis, msg *Message, complete replica.Revision) (out []Send) {
+func (g *Group) Receive(now clock.Millis, msg *Message, held Copy) (out []Send) {
 	if msg.From.ID == g.self.ID || msg.From.ID == "" || !msg.From.Address.IsValid() {
 		return nil
 	}
@@ -168,17 +207,18 @@
 	}
 	first := m.heard == 0
 	m.peer, m.started, m.number = msg.From, msg.Started, msg.Number
-	m.heard, m.leaving, m.complete = now, msg.Leaving, msg.Complete
+	m.heard, m.leaving = now, msg.Leaving
+	m.copy = Copy{Complete: msg.Complete, ConfirmedAt: now - max(0, msg.Age)}
 	if msg.Loads != nil {
 		m.loads = msg.Loads
 	}
 	for _, p := range msg.Known {
 		if to, ok := g.learn(now, p); ok {
-			out = append(out, Send{To: to, Message: g.message(now, complete, nil, true)})
+			out = append(out, Send{To: to, Message: g.message(now, held, true, nil)})
 		}
 	}
 	if msg.Asks || first {
-		out = append(out, Send{To: msg.From.Address, Message: g.message(now, complete, nil, false)})
+		out = append(out, Send{To: msg.From.Address, Message: g.message(now, held, false, nil)})
 	}
 	return out
 }
@@ -228,15 +268,34 @@
 // Ahead returns a living VM that holds a higher revision than complete, one
 // of the own failure domain if there is any.
 func (g *Group) Ahead(now clock.Millis, complete replica.Revision) (p Peer, ok bool) {
+	var near, far []Peer
 	for _, m := range g.sorted() {
-		if m.complete <= complete || !m.alive(now) {
-			continue
+		switch {
+		case m.copy.Complete <= complete || !m.alive(now):
+		case m.peer.Domain == g.self.Domain:
+			near = append(near, m.peer)
+		default:
+			far = append(far, m.peer)
 		}
-		if !ok || m.peer.Domain == g.self.Domain && p.Domain != g.self.Domain {
-			p, ok = m.peer, true
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	if len(near) == 0 {
+		return p, false
+	}
+	return near[g.rng.IntN(len(near))], true
+}
+
+// ConfirmedAt returns when a copy that is complete up to the given revision was
+// last confirmed to be so, as far as other VMs tell.
+func (g *Group) ConfirmedAt(complete replica.Revision) (at clock.Millis) {
+	for _, m := range g.members {
+		if m.heard != 0 && m.copy.Complete != 0 && m.copy.Complete <= complete {
+			at = max(at, m.copy.ConfirmedAt)
 		}
 	}
-	return p, ok
+	return at
 }
 
 // Others returns the load that the other VMs reported lately.
@@ -248,7 +307,7 @@
 		}
 		for _, l := range m.loads {
 			s := sums[l.Token]
-			s.Open += l.Open
+			s.Steady += l.Steady
 			s.Busy += l.Busy
 			sums[l.Token] = s
 		}
--- a/fleet/gossip/message.go
+++ b/fleet/gossip/message.go
@@ -14,6 +14,7 @@
 	_      struct{} `cbor:",toarray"`
 	ID     ident.VMID
 	Domain ident.DomainName
+	Region ident.RegionName
 	// Address takes datagrams and calls.
 	Address netip.AddrPort
 }
@@ -22,8 +23,9 @@
 type Load struct {
 	_     struct{} `cbor:",toarray"`
 	Token catalog.Token
-	// Open counts flows, Busy requests under way.
-	Open, Busy int32
+	// Steady is the expected load of the open flows, in thousandths of a
+	// request under way, Busy the number of requests under way.
+	Steady, Busy int32
 }
 
 // Message is what VMs tell each other.
@@ -38,10 +40,22 @@
 	Leaving bool
 	// Complete is the revision up to which the sender holds every change.
 	Complete replica.Revision
+	// Age is how long ago the publisher confirmed that, at most maxAge.
+	Age clock.Millis
 	// Asks wants an answer at once.
 	Asks  bool
 	Known []Peer
+	// Loads is what the sender puts on each upstream, nil if it does not tell.
 	Loads []Load
+	// News is the newest change, if it is small.
+	News *replica.Update
+}
+
+// Copy is what a VM holds of what is published.
+type Copy struct {
+	Complete replica.Revision
+	// ConfirmedAt is when the publisher confirmed that the copy is complete.
+	ConfirmedAt clock.Millis
 }
 
 // Send is a message on its way out.
--- /dev/null
+++ b/fleet/replica/main_test.go
@@ -0,0 +1,10 @@
+package replica
+
+import (
+	"os"
+	"testing"
+
+	"github.com/amaranthswitch/amaranthswitch/fleet/internal/fixedseed"
+)
+
+func TestMain(m *testing.M) { os.Exit(fixedseed.Run(m)) }
