Start without compiling the schema, leave packets when cut off

Change: fleet/configfile reads files, fleet/config keeps the types. A VM that hears no VM of another failure domain and reaches no upstream answers that it is not ready, so that the fabric turns to other failure domains. What was held against a failure domain is forgotten once its VMs are heard again.

--- a/amaranthctl/files.go
+++ b/amaranthctl/files.go
@@ -12,6 +12,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/amaranthswitch/amaranthswitch/fleet/config"
+	"github.com/amaranthswitch/amaranthswitch/fleet/configfile"
 )
 
 // errInvalid ends a check whose problems were printed.
@@ -38,8 +39,8 @@
 	if err != nil {
 		return eris.Wrap(err, "check")
 	}
-	f, err := config.Parse(data)
-	var problems config.Problems
+	f, err := configfile.Parse(data)
+	var problems configfile.Problems
 	if err != nil && !errors.As(err, &problems) {
 		return eris.Wrapf(err, "check %s", path)
 	}
@@ -60,9 +61,9 @@
 	return nil
 }
 
-func printProblems(w io.Writer, problems config.Problems) error {
+func printProblems(w io.Writer, problems configfile.Problems) error {
 	if problems == nil {
-		problems = config.Problems{}
+		problems = configfile.Problems{}
 	}
 	if err := json.NewEncoder(w).Encode(problems); err != nil {
 		return err
@@ -124,5 +125,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return config.Parse(data)
+	return configfile.Parse(data)
 }
--- a/amaranthd/capacity/measure.go
+++ b/amaranthd/capacity/measure.go
@@ -13,6 +13,7 @@
 	"github.com/amaranthswitch/amaranthswitch/fleet/claim"
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
 	"github.com/amaranthswitch/amaranthswitch/fleet/config"
+	"github.com/amaranthswitch/amaranthswitch/fleet/configfile"
 	"github.com/amaranthswitch/amaranthswitch/fleet/flow"
 	"github.com/amaranthswitch/amaranthswitch/fleet/homes"
 	"github.com/amaranthswitch/amaranthswitch/fleet/membership"
@@ -231,7 +232,7 @@
 		e := steering.New(0, "vm")
 		e.SetConfig(0, old)
 		cpu.add(n, timeEach(3, func(i int) {
-			f, err := config.Parse(next)
+			f, err := configfile.Parse(next)
 			if err != nil {
 				panic(err) // It parsed before.
 			}
--- a/amaranthd/capacity/report.go
+++ b/amaranthd/capacity/report.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/amaranthswitch/amaranthswitch/fleet/config"
+	"github.com/amaranthswitch/amaranthswitch/fleet/configfile"
 )
 
 // encoded returns a file, read back from its JSON form, and that form.
@@ -16,7 +17,7 @@
 	if body, err = json.MarshalIndent(f, "", " "); err != nil {
 		return nil, nil, err
 	}
-	parsed, err = config.Parse(body)
+	parsed, err = configfile.Parse(body)
 	return parsed, body, err
 }
 
--- a/amaranthd/entry/daemon.go
+++ b/amaranthd/entry/daemon.go
@@ -199,7 +199,7 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+path, func(w http.ResponseWriter, _ *http.Request) {
-		if d.leaving.Load() || !d.engine.Ready() {
+		if !d.ready() {
 			http.Error(w, "not ready", http.StatusServiceUnavailable)
 		}
 	})
@@ -209,6 +209,16 @@
 	return func() { _ = srv.Close(); <-ended }, nil
 }
 
+// ready reports whether this VM takes packets. One that is cut off from all
+// other failure domains and reaches no upstream in its own leaves the packets
+// to VMs elsewhere.
+func (d *Daemon) ready() bool {
+	if d.leaving.Load() || !d.engine.Ready() {
+		return false
+	}
+	return !d.peers.isolated.Load() || !d.engine.Stranded(d.clk.Now())
+}
+
 // Run runs the daemon until ctx ends, and then until it has stopped taking
 // packets. The cleanup returned by New must follow.
 func (d *Daemon) Run(ctx context.Context) error {
--- a/amaranthd/entry/peers.go
+++ b/amaranthd/entry/peers.go
@@ -29,6 +29,12 @@
 	callWait clock.Millis = 1000
 	// maxMessageBytes holds the largest datagram between VMs.
 	maxMessageBytes = 1 << 16
+	// cutAfter is the silence of all VMs of a failure domain that means that
+	// there is no path to it.
+	cutAfter clock.Millis = 1200
+	// isolatedAfter is such a silence of all other failure domains that, with
+	// no upstream that answers, makes this VM leave the packets to others.
+	isolatedAfter clock.Millis = 600
 	// pullDelay spreads the questions of VMs that hear of a change at once.
 	pullDelay clock.Millis = 20
 	// newsBytes is the largest change that is told in a datagram.
@@ -60,6 +66,8 @@
 	group *gossip.Group
 
 	alive    map[ident.VMID]bool
+	cut      map[ident.DomainName]bool // failure domains none of whose VMs is heard
+	isolated atomic.Bool               // all of them are
 	pulling  atomic.Bool
 	bytesOut atomic.Int64
 	invalid  atomic.Int64
@@ -78,6 +86,7 @@
 		conn: pc.(*net.UDPConn), pool: pool, engine: engine, keeper: k, clk: clk, log: log,
 		group: gossip.New(now, self, set.Seeds, uint64(set.Peers.Addr().As4()[3])),
 		alive: make(map[ident.VMID]bool),
+		cut:   make(map[ident.DomainName]bool),
 	}
 	server.Handle(methodSince, p.serveSince)
 	return p, func() { _ = p.conn.Close() }, nil
@@ -185,6 +194,7 @@
 	vms := p.group.VMs()
 	alive := p.group.Alive(now)
 	others := p.group.Others(now)
+	heard := p.group.Heard()
 	_, behind := p.group.Ahead(now, held.Complete)
 	p.mu.Unlock()
 	p.send(out)
@@ -192,11 +202,30 @@
 	p.engine.SetVMs(vms)
 	p.engine.SetOthers(sumsOf(others))
 	p.logChanges(ctx, alive)
+	p.watchPaths(ctx, now, heard)
 	if behind {
 		p.catchUp(ctx)
 	}
 }
 
+// watchPaths notices partitions by the silence of whole failure domains.
+func (p *peers) watchPaths(ctx context.Context, now clock.Millis, heard map[ident.DomainName]clock.Millis) {
+	isolated := len(heard) > 0
+	for domain, at := range heard {
+		isolated = isolated && now-at >= isolatedAfter
+		cut := now-at >= cutAfter
+		if cut == p.cut[domain] {
+			continue
+		}
+		p.cut[domain] = cut
+		if !cut {
+			p.engine.PathBack(now, domain)
+		}
+		event.Log(ctx, p.log, event.DomainHeard, slog.String("domain", string(domain)), slog.Bool("heard", !cut))
+	}
+	p.isolated.Store(isolated)
+}
+
 // logChanges logs which VMs began or ceased to be heard.
 func (p *peers) logChanges(ctx context.Context, alive []gossip.Peer) {
 	heard := make(map[ident.VMID]bool, len(alive))
--- a/amaranthd/vm/delta.go
+++ b/amaranthd/vm/delta.go
@@ -4,7 +4,7 @@
 	"github.com/klauspost/compress/zstd"
 	"github.com/rotisserie/eris"
 
-	"github.com/amaranthswitch/amaranthswitch/fleet/config"
+	"github.com/amaranthswitch/amaranthswitch/fleet/configfile"
 )
 
 const dictionaryID = 1
@@ -13,7 +13,7 @@
 // or without one if base is empty.
 func Compress(body, base []byte) (frame []byte, err error) {
 	defer func() { err = eris.Wrap(err, "vm: compress") }()
-	opts := []zstd.EOption{zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(2 * config.MaxFileBytes)}
+	opts := []zstd.EOption{zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(2 * configfile.MaxFileBytes)}
 	if len(base) > 0 {
 		opts = append(opts, zstd.WithEncoderDictRaw(dictionaryID, base))
 	}
@@ -29,7 +29,7 @@
 // larger than a file may be.
 func Decompress(frame, base []byte) (body []byte, err error) {
 	defer func() { err = eris.Wrap(err, "vm: decompress") }()
-	opts := []zstd.DOption{zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(8 * config.MaxFileBytes)}
+	opts := []zstd.DOption{zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(8 * configfile.MaxFileBytes)}
 	if len(base) > 0 {
 		opts = append(opts, zstd.WithDecoderDictRaw(dictionaryID, base))
 	}
@@ -39,7 +39,7 @@
 	}
 	defer dec.Close()
 	body, err = dec.DecodeAll(frame, nil)
-	if err == nil && len(body) > config.MaxFileBytes {
+	if err == nil && len(body) > configfile.MaxFileBytes {
 		return nil, eris.Errorf("body has %d bytes", len(body))
 	}
 	return body, err
--- a/fleet/config/parse.go
+++ b/fleet/configfile/parse.go
@@ -1,11 +1,8 @@
-package config
+package configfile
 
 import (
 	"bytes"
-	"crypto/sha256"
 	_ "embed" // The schema is embedded.
-	"encoding/binary"
-	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -16,6 +13,8 @@
 	"github.com/santhosh-tekuri/jsonschema/v6"
 	"golang.org/x/text/language"
 	"golang.org/x/text/message"
+
+	"github.com/amaranthswitch/amaranthswitch/fleet/config"
 )
 
 // MaxFileBytes is the largest file the platform holds.
@@ -26,28 +25,6 @@
 //go:embed schema.json
 var Schema []byte
 
-// Digest identifies the exact bytes of a file. It is the first 16 bytes of
-// their SHA-256 sum in hexadecimal.
-type Digest string
-
-// DigestOf returns the digest of data.
-func DigestOf(data []byte) Digest {
-	sum := sha256.Sum256(data)
-	return Digest(hex.EncodeToString(sum[:16]))
-}
-
-// ShortDigest is the first half of a digest. Its order is that of the digests.
-type ShortDigest uint64
-
-// Short returns the first half of d, or zero for the empty digest.
-func (d Digest) Short() ShortDigest {
-	raw, err := hex.DecodeString(string(d))
-	if err != nil || len(raw) < 8 {
-		return 0
-	}
-	return ShortDigest(binary.BigEndian.Uint64(raw))
-}
-
 // Problem is one thing that is wrong with a file.
 type Problem struct {
 	Path   string `json:"path"`
@@ -80,7 +57,7 @@
 
 // Parse decodes and validates a whole file. A file that is not acceptable
 // gives Problems as its error.
-func Parse(data []byte) (f *File, err error) {
+func Parse(data []byte) (f *config.File, err error) {
 	if len(data) > MaxFileBytes {
 		reason := fmt.Sprintf("file has %d bytes, the platform holds %d at most", len(data), MaxFileBytes)
 		return nil, Problems{{Path: "$", Reason: reason}}
@@ -95,7 +72,7 @@
 	if err := compileSchema().Validate(doc); err != nil {
 		return nil, schemaProblems(err)
 	}
-	f = &File{}
+	f = &config.File{}
 	if err := json.Unmarshal(data, f); err != nil {
 		return nil, Problems{{Path: "$", Reason: err.Error()}}
 	}
--- a/fleet/config/config_test.go
+++ b/fleet/configfile/parse_test.go
@@ -1,4 +1,4 @@
-package config_test
+package configfile_test
 
 import (
 	"fmt"
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/amaranthswitch/amaranthswitch/fleet/config"
+	"github.com/amaranthswitch/amaranthswitch/fleet/configfile"
 )
 
 func example(t *testing.T, name string) string {
@@ -47,8 +48,8 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			text := strings.Replace(example(t, "workshop"), test.old, test.new, 1)
-			_, err := config.Parse([]byte(text))
-			problems, ok := err.(config.Problems)
+			_, err := configfile.Parse([]byte(text))
+			problems, ok := err.(configfile.Problems)
 			assert.Assert(t, ok, "got %v", err)
 			for _, p := range problems {
 				if p.Path == test.path && strings.Contains(p.Reason, test.reason) {
@@ -62,13 +63,13 @@
 
 func TestParseServiceWithoutUpstreams(t *testing.T) {
 	text := `{"version":1,"domains":[{"name":"a","region":"r","state":"in"}],"services":[{"name":"s","vni":1,"address":"198.51.100.1","kinds":["flow"],"warmUp":{"durationMillis":1,"initialPerSecond":1,"fullPerSecond":1},"upstreams":[]}]}`
-	_, err := config.Parse([]byte(text))
+	_, err := configfile.Parse([]byte(text))
 	assert.ErrorContains(t, err, "$.services[0].upstreams")
 }
 
 func TestParseExamples(t *testing.T) {
 	for _, name := range []string{"workshop", "trentfeed"} {
-		f, err := config.Parse([]byte(example(t, name)))
+		f, err := configfile.Parse([]byte(example(t, name)))
 		assert.NilError(t, err)
 		assert.Equal(t, len(f.Domains), 3)
 		assert.Equal(t, len(f.Services[0].Upstreams), 14)
@@ -77,13 +78,13 @@
 }
 
 func TestParseTooLarge(t *testing.T) {
-	_, err := config.Parse(make([]byte, config.MaxFileBytes+1))
+	_, err := configfile.Parse(make([]byte, configfile.MaxFileBytes+1))
 	assert.ErrorContains(t, err, "1048577 bytes")
 }
 
-func ExampleDiff() {
+func ExampleParse() {
 	parse := func(state string) *config.File {
-		f, err := config.Parse(fmt.Appendf(nil, `{"version":1,"domains":[{"name":"a","region":"r","state":%q}],"services":[]}`, state))
+		f, err := configfile.Parse(fmt.Appendf(nil, `{"version":1,"domains":[{"name":"a","region":"r","state":%q}],"services":[]}`, state))
 		if err != nil {
 			panic(err)
 		}
--- a/fleet/config/schema_test.go
+++ b/fleet/configfile/schema_test.go
@@ -1,4 +1,4 @@
-package config
+package configfile
 
 import (
 	"encoding/json"
@@ -8,6 +8,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/amaranthswitch/amaranthswitch/fleet/config"
 )
 
 // schemaNode is the part of a schema that names fields.
@@ -45,13 +47,13 @@
 		node  schemaNode
 		value any
 	}{
-		{root, File{}},
-		{root.Defs["domain"], Domain{}},
-		{service, Service{}},
-		{root.Defs["upstream"], Upstream{}},
-		{service.Properties["warmUp"], WarmUp{}},
-		{request, Request{}},
-		{*request.Properties["owners"].Items, OwnerRange{}},
+		{root, config.File{}},
+		{root.Defs["domain"], config.Domain{}},
+		{service, config.Service{}},
+		{root.Defs["upstream"], config.Upstream{}},
+		{service.Properties["warmUp"], config.WarmUp{}},
+		{request, config.Request{}},
+		{*request.Properties["owners"].Items, config.OwnerRange{}},
 	}
 	for _, test := range tests {
 		assert.DeepEqual(t, propertiesOf(test.node), fieldsOf(test.value))
--- a/fleet/config/validate.go
+++ b/fleet/configfile/validate.go
@@ -1,43 +1,45 @@
-package config
+package configfile
 
 import (
 	"fmt"
 	"net/netip"
+
+	"github.com/amaranthswitch/amaranthswitch/fleet/config"
 )
 
 // validator collects the problems that a schema cannot express.
 type validator struct {
-	f        *File
+	f        *config.File
 	problems Problems
 
-	domains   map[DomainName]string
-	services  map[ServiceName]string
-	vnis      map[VNI]string
+	domains   map[config.DomainName]string
+	services  map[config.ServiceName]string
+	vnis      map[config.VNI]string
 	addresses map[netip.Addr]string
 	endpoints map[string]endpointUse
-	ids       map[UpstreamID]string
+	ids       map[config.UpstreamID]string
 }
 
 // endpointUse tells who uses an upstream address and for which network.
 type endpointUse struct {
 	path string
-	vni  VNI
+	vni  config.VNI
 }
 
-func validate(f *File) Problems {
+func validate(f *config.File) Problems {
 	v := &validator{
 		f:         f,
-		domains:   make(map[DomainName]string),
-		services:  make(map[ServiceName]string),
-		vnis:      make(map[VNI]string),
+		domains:   make(map[config.DomainName]string),
+		services:  make(map[config.ServiceName]string),
+		vnis:      make(map[config.VNI]string),
 		addresses: make(map[netip.Addr]string),
 		endpoints: make(map[string]endpointUse),
-		ids:       make(map[UpstreamID]string),
+		ids:       make(map[config.UpstreamID]string),
 	}
 	for i := range f.Domains {
 		v.domain(fmt.Sprintf("$.domains[%d]", i), &f.Domains[i])
 	}
-	used := make(map[DomainName]bool)
+	used := make(map[config.DomainName]bool)
 	for i := range f.Services {
 		v.service(fmt.Sprintf("$.services[%d]", i), &f.Services[i])
 		for _, u := range f.Services[i].Upstreams {
@@ -56,7 +58,7 @@
 	v.problems = append(v.problems, Problem{Path: path, Reason: fmt.Sprintf(format, args...)})
 }
 
-func (v *validator) domain(path string, d *Domain) {
+func (v *validator) domain(path string, d *config.Domain) {
 	if first, dup := v.domains[d.Name]; dup {
 		v.add(path+".name", "failure domain %q is already defined at %s", d.Name, first)
 		return
@@ -64,13 +66,13 @@
 	v.domains[d.Name] = path
 }
 
-func (v *validator) service(path string, s *Service) {
+func (v *validator) service(path string, s *config.Service) {
 	if first, dup := v.services[s.Name]; dup {
 		v.add(path+".name", "service %q is already defined at %s", s.Name, first)
 	}
 	v.services[s.Name] = path
 	if first, dup := v.vnis[s.VNI]; dup {
-		v.add(path+".vni", "VNI %d is already used at %s", s.VNI, first)
+		v.add(path+".vni", "config.VNI %d is already used at %s", s.VNI, first)
 	}
 	v.vnis[s.VNI] = path
 	if !s.Address.IsValid() {
@@ -81,23 +83,23 @@
 	v.addresses[s.Address] = path
 	v.warmUp(path+".warmUp", s.WarmUp)
 	v.request(path, s)
-	names := make(map[UpstreamName]string)
+	names := make(map[config.UpstreamName]string)
 	for i := range s.Upstreams {
 		v.upstream(fmt.Sprintf("%s.upstreams[%d]", path, i), s, &s.Upstreams[i], names)
 	}
 }
 
-func (v *validator) warmUp(path string, w WarmUp) {
+func (v *validator) warmUp(path string, w config.WarmUp) {
 	if w.FullPerSecond < w.InitialPerSecond {
 		v.add(path+".fullPerSecond", "full rate %g is below the initial rate %g", w.FullPerSecond, w.InitialPerSecond)
 	}
 }
 
-func (v *validator) request(path string, s *Service) {
-	if s.Carries(KindRequest) && s.Request == nil {
+func (v *validator) request(path string, s *config.Service) {
+	if s.Carries(config.KindRequest) && s.Request == nil {
 		v.add(path+".request", "a service of kind request needs this field")
 	}
-	if !s.Carries(KindRequest) && s.Request != nil {
+	if !s.Carries(config.KindRequest) && s.Request != nil {
 		v.add(path+".request", "the service is not of kind request")
 	}
 	if s.Request == nil {
@@ -112,7 +114,7 @@
 	}
 }
 
-func (v *validator) upstream(path string, s *Service, u *Upstream, names map[UpstreamName]string) {
+func (v *validator) upstream(path string, s *config.Service, u *config.Upstream, names map[config.UpstreamName]string) {
 	if first, dup := names[u.Name]; dup {
 		v.add(path+".name", "upstream %q is already defined at %s", u.Name, first)
 	}
@@ -121,7 +123,7 @@
 		v.add(path+".domain", "failure domain %q does not exist", u.Domain)
 	}
 	v.endpoint(path+".address", u.Address, s.VNI)
-	if s.Carries(KindRequest) {
+	if s.Carries(config.KindRequest) {
 		if u.HTTPAddress == "" {
 			v.add(path+".httpAddress", "an upstream of a request service needs this field")
 		} else {
@@ -139,8 +141,8 @@
 }
 
 // endpoint checks an address. Two services may share an upstream VM's tunnel
-// address because the VNI separates them; one service may not use it twice.
-func (v *validator) endpoint(path, address string, vni VNI) {
+// address because the config.VNI separates them; one service may not use it twice.
+func (v *validator) endpoint(path, address string, vni config.VNI) {
 	ap, err := netip.ParseAddrPort(address)
 	if err != nil {
 		v.add(path, "%q is not an IP address and port", address)
--- a/fleet/event/event.go
+++ b/fleet/event/event.go
@@ -60,6 +60,7 @@
 	UpstreamHealth ID = 6006
 	DomainHealth   ID = 6007
 	CatalogTaken   ID = 6008
+	DomainHeard    ID = 6009
 )
 
 // Events of requests.
@@ -87,6 +88,7 @@
 	UpstreamHealth:    "upstreamHealth",
 	DomainHealth:      "domainHealth",
 	CatalogTaken:      "catalogTaken",
+	DomainHeard:       "domainHeard",
 	ConfigAccepted:    "configAccepted",
 	ConfigInvalid:     "configInvalid",
 	ConfigOlder:       "configOlder",
--- a/fleet/forward/engine.go
+++ b/fleet/forward/engine.go
@@ -333,6 +333,42 @@
 	return Decision{Action: Refuse, Reason: r}
 }
 
+// Stranded reports whether no upstream that takes new flows answers from here.
+func (e *Engine) Stranded(now clock.Millis) bool {
+	v := e.view.Load()
+	if v == nil {
+		return false
+	}
+	taking := false
+	for _, list := range v.serving {
+		for _, t := range list {
+			if !t.entry.TakesNew(now) {
+				continue
+			}
+			if answers(t) {
+				return false
+			}
+			taking = true
+		}
+	}
+	return taking
+}
+
+// PathBack forgets what was held against a failure domain and its upstreams
+// while there was no path to it.
+func (e *Engine) PathBack(now clock.Millis, domain ident.DomainName) {
+	v := e.view.Load()
+	if v == nil {
+		return
+	}
+	for _, t := range v.tokens {
+		if t.entry.Domain == domain {
+			t.load.health.answered(now)
+			t.domain.answered(now)
+		}
+	}
+}
+
 // Loads returns the load that passes this VM on each upstream, by token.
 func (e *Engine) Loads() map[catalog.Token]Sum {
 	sums := make(map[catalog.Token]Sum)
--- a/fleet/forward/place.go
+++ b/fleet/forward/place.go
@@ -75,14 +75,14 @@
 		return t
 	}
 	e.repeated(now, f)
-	if !t.entry.TakesNew(now) || !e.answers(t) {
+	if !t.entry.TakesNew(now) || !answers(t) {
 		return nil
 	}
 	return t
 }
 
 // answers reports whether t is believed to answer from here.
-func (e *Engine) answers(t *target) bool {
+func answers(t *target) bool {
 	cond, _ := t.load.health.condition()
 	whole, _ := t.domain.condition()
 	return cond == answering && whole != lost
@@ -114,7 +114,7 @@
 			if bestCold == nil || cost < bestColdCost {
 				bestCold, bestColdCost = t, cost
 			}
-		case !e.answers(t):
+		case !answers(t):
 			if p.Copies == 0 && tryAgain(now, t) {
 				return t
 			}
--- a/fleet/rollout/gate.go
+++ b/fleet/rollout/gate.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
 	"github.com/amaranthswitch/amaranthswitch/fleet/config"
+	"github.com/amaranthswitch/amaranthswitch/fleet/configfile"
 )
 
 // Outcome tells what became of an offered file.
@@ -76,7 +77,7 @@
 	if g.inForce != nil && digest == g.inForce.Digest {
 		return Known, nil
 	}
-	f, err := config.Parse(body)
+	f, err := configfile.Parse(body)
 	if err != nil {
 		g.refused = digest.Short()
 		return Invalid, err
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/amaranthswitch/amaranthswitch/fleet/config"
+	"github.com/amaranthswitch/amaranthswitch/fleet/configfile"
 	"github.com/amaranthswitch/amaranthswitch/fleet/membership"
 	"github.com/amaranthswitch/amaranthswitch/standin/caller"
 	"github.com/amaranthswitch/amaranthswitch/standin/fabric"
@@ -120,7 +121,7 @@
 	s.ctx, cancel = context.WithCancel(ctx)
 	s.add(cancel)
 	body := Localize(example, s.opts.network)
-	if s.Config, err = config.Parse(body); err != nil {
+	if s.Config, err = configfile.Parse(body); err != nil {
 		s.close()
 		return nil, nil, err
 	}
