Test the adapter with processes, log each request, serve metrics

Found on the way: a mute watch was followed by another one instead of a plain read, so that a change was not in force after 3 s (TestChangesArrive, fails first); an unusable address did not name its field; a flow whose upstream died right after it opened was not given up.

--- a/amaranthd/entry/daemon.go
+++ b/amaranthd/entry/daemon.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 	"go.uber.org/dig"
 
+	"github.com/amaranthswitch/amaranthswitch/amaranthd/operator"
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/rpc"
 	"github.com/amaranthswitch/amaranthswitch/fleet/catalog"
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
@@ -42,9 +43,18 @@
 	path    *path
 	keeper  *keeper
 	peers   *peers
+	pool    *rpc.Pool
+	server  *rpc.Server
+	observe *observers
 	started clock.Millis
 
-	leaving atomic.Bool
+	linesDropped func() int64
+	leaving      atomic.Bool
+}
+
+// observers take durations. They are set once before packets come.
+type observers struct {
+	opened, answered func(took clock.Millis)
 }
 
 // cleanups collects the clean-up functions of the parts, run last to first.
@@ -64,8 +74,9 @@
 type Option func(*options)
 
 type options struct {
-	clk    clock.Clock
-	policy forward.Policy
+	clk          clock.Clock
+	policy       forward.Policy
+	linesDropped func() int64
 }
 
 // WithClock replaces the system's clock.
@@ -74,11 +85,14 @@
 // WithPolicy replaces the policy of placement.
 func WithPolicy(p forward.Policy) Option { return func(o *options) { o.policy = p } }
 
+// WithLinesDropped tells where the number of log lines left out is read.
+func WithLinesDropped(read func() int64) Option { return func(o *options) { o.linesDropped = read } }
+
 // New builds the daemon and opens its addresses. Nothing runs before Run; the
 // cleanup closes what was opened.
 func New(ctx context.Context, set Settings, a Adapter, log *slog.Logger, opts ...Option) (d *Daemon, cleanup func(), err error) {
 	defer func() { err = eris.Wrapf(err, "entry: build %s", set.VM) }()
-	o := options{clk: clock.System(), policy: forward.DefaultPolicy()}
+	o := options{clk: clock.System(), policy: forward.DefaultPolicy(), linesDropped: func() int64 { return 0 }}
 	for _, opt := range opts {
 		opt(&o)
 	}
@@ -91,6 +105,7 @@
 		func() *options { return &o },
 		func() *slog.Logger { return log.With(slog.String("vm", string(set.VM))) },
 		func() *cleanups { return clean },
+		func() *observers { return &observers{opened: func(clock.Millis) {}, answered: func(clock.Millis) {}} },
 		provideEngine, provideKeeper, providePath, providePool, provideServer, providePeers, newDaemon,
 	} {
 		if err = c.Provide(constructor); err != nil {
@@ -104,38 +119,11 @@
 	return d, clean.run, nil
 }
 
-func provideEngine(set *Settings, o *options, log *slog.Logger) *forward.Engine {
-	return forward.New(set.VM, set.Domain, forward.WithPolicy(o.policy), forward.WithSeams(logDecisions(log)))
-}
-
-// logDecisions returns seams that log what an engine concludes.
-func logDecisions(log *slog.Logger) forward.Seams {
-	ctx := context.Background()
-	return forward.Seams{
-		Health: func(u *catalog.Entry, wholeDomain bool, from, to string) {
-			attrs := []slog.Attr{slog.String("domain", string(u.Domain)), slog.String("from", from), slog.String("to", to)}
-			if wholeDomain {
-				event.Log(ctx, log, event.DomainHealth, attrs...)
-				return
-			}
-			event.Log(ctx, log, event.UpstreamHealth, append(attrs, slog.String("upstream", string(u.ID)))...)
-		},
-		Placed: func(p *forward.Packet, d *forward.Decision, u *catalog.Entry) {
-			if d.Action == forward.Refuse {
-				event.Log(ctx, log, event.FlowRefused, slog.String("caller", p.Caller.String()),
-					slog.String("service", p.Service.String()), slog.String("reason", d.Reason.String()))
-				return
-			}
-			if log.Enabled(ctx, slog.LevelDebug) {
-				event.Log(ctx, log, event.FlowPlaced, slog.String("caller", p.Caller.String()),
-					slog.String("service", p.Service.String()), slog.Int("copies", p.Copies), slog.String("upstream", string(u.ID)))
-			}
-		},
-		Lost: func(p *forward.Packet, u *catalog.Entry) {
-			event.Log(ctx, log, event.FlowLost, slog.String("caller", p.Caller.String()),
-				slog.String("service", p.Service.String()), slog.String("upstream", string(u.ID)))
-		},
-	}
+func provideEngine(set *Settings, o *options, obs *observers, log *slog.Logger) *forward.Engine {
+	seams := logDecisions(log)
+	seams.Opened = func(took clock.Millis) { obs.opened(took) }
+	seams.Answered = func(took clock.Millis) { obs.answered(took) }
+	return forward.New(set.VM, set.Domain, forward.WithPolicy(o.policy), forward.WithSeams(seams))
 }
 
 func provideKeeper(set *Settings, a *Adapter, o *options, engine *forward.Engine, log *slog.Logger) *keeper {
@@ -148,8 +136,8 @@
 	return newKeeper(a, o.clk, log, set.HeartbeatMillis, publish)
 }
 
-func providePath(ctx context.Context, set *Settings, a *Adapter, engine *forward.Engine, o *options, clean *cleanups) (*path, error) {
-	p, cleanup, err := newPath(ctx, set, a, engine, o.clk)
+func providePath(ctx context.Context, set *Settings, a *Adapter, engine *forward.Engine, k *keeper, o *options, log *slog.Logger, clean *cleanups) (*path, error) {
+	p, cleanup, err := newPath(ctx, set, a, engine, o.clk, requestLog{log: log, held: k.held, clk: o.clk})
 	if err == nil {
 		clean.add(cleanup)
 	}
@@ -179,14 +167,50 @@
 	return p, err
 }
 
-func newDaemon(ctx context.Context, set *Settings, a *Adapter, o *options, log *slog.Logger, engine *forward.Engine, p *path, k *keeper, ps *peers, clean *cleanups) (*Daemon, error) {
-	d := &Daemon{set: *set, clk: o.clk, log: log, engine: engine, path: p, keeper: k, peers: ps, started: o.clk.Now()}
-	k.news = ps.news
-	cleanup, err := d.serveReady(ctx, set.Ready, a.ReadyPath)
-	if err == nil {
-		clean.add(cleanup)
+// parts are what a Daemon is made of.
+type parts struct {
+	dig.In
+
+	Set     *Settings
+	Adapter *Adapter
+	Options *options
+	Log     *slog.Logger
+	Engine  *forward.Engine
+	Path    *path
+	Keeper  *keeper
+	Peers   *peers
+	Pool    *rpc.Pool
+	Server  *rpc.Server
+	Observe *observers
+	Clean   *cleanups
+}
+
+func newDaemon(ctx context.Context, p parts) (d *Daemon, err error) {
+	d = &Daemon{
+		set: *p.Set, clk: p.Options.clk, log: p.Log, engine: p.Engine, path: p.Path, keeper: p.Keeper, peers: p.Peers,
+		pool: p.Pool, server: p.Server, observe: p.Observe, started: p.Options.clk.Now(), linesDropped: p.Options.linesDropped,
+	}
+	p.Keeper.news = p.Peers.news
+	cleanup, err := d.serveReady(ctx, p.Set.Ready, p.Adapter.ReadyPath)
+	if err != nil {
+		return nil, err
+	}
+	p.Clean.add(cleanup)
+	return d, d.serveOperators(ctx, p.Set.Metrics, p.Clean)
+}
+
+// serveOperators serves metrics and the status, if an address is set.
+func (d *Daemon) serveOperators(ctx context.Context, address netip.AddrPort, clean *cleanups) error {
+	if !address.IsValid() {
+		return nil
 	}
-	return d, err
+	s, cleanup, err := operator.Start(ctx, address, func() any { return d.status() }, d.ready)
+	if err != nil {
+		return err
+	}
+	clean.add(cleanup)
+	d.registerMetrics(s)
+	return nil
 }
 
 // serveReady answers the fabric's question whether this VM takes packets.
--- /dev/null
+++ b/amaranthd/entry/decisions.go
@@ -0,0 +1,66 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+
+	"github.com/amaranthswitch/amaranthswitch/fleet/catalog"
+	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
+	"github.com/amaranthswitch/amaranthswitch/fleet/event"
+	"github.com/amaranthswitch/amaranthswitch/fleet/forward"
+	"github.com/amaranthswitch/amaranthswitch/fleet/gossip"
+)
+
+// logDecisions returns seams that log what an engine concludes.
+func logDecisions(log *slog.Logger) forward.Seams {
+	ctx := context.Background()
+	return forward.Seams{
+		Health: func(u *catalog.Entry, wholeDomain bool, from, to string) {
+			attrs := []slog.Attr{slog.String("domain", string(u.Domain)), slog.String("from", from), slog.String("to", to)}
+			if wholeDomain {
+				event.Log(ctx, log, event.DomainHealth, attrs...)
+				return
+			}
+			event.Log(ctx, log, event.UpstreamHealth, append(attrs, slog.String("upstream", string(u.ID)))...)
+		},
+		Placed: func(p *forward.Packet, d *forward.Decision, u *catalog.Entry) {
+			if d.Action == forward.Refuse {
+				event.Log(ctx, log, event.FlowRefused, append(flowOf(p), slog.String("reason", d.Reason.String()))...)
+				return
+			}
+			event.Log(ctx, log, event.FlowPlaced, append(flowOf(p), slog.Int("copies", p.Copies),
+				slog.String("upstream", string(u.ID)), slog.String("domain", string(u.Domain)))...)
+		},
+		Lost: func(p *forward.Packet, u *catalog.Entry) {
+			event.Log(ctx, log, event.FlowLost, append(flowOf(p), slog.String("upstream", string(u.ID)), slog.String("domain", string(u.Domain)))...)
+		},
+	}
+}
+
+// flowOf names a packet's flow by its two ends.
+func flowOf(p *forward.Packet) []slog.Attr {
+	return []slog.Attr{slog.String("caller", p.Caller.String()), slog.String("service", p.Service.String())}
+}
+
+// requestLog logs what was decided about packets that show a request's
+// identifier.
+type requestLog struct {
+	log  *slog.Logger
+	held func() gossip.Copy
+	clk  clock.Clock
+}
+
+// decided logs the decision with what it rested on.
+func (l *requestLog) decided(request string, p *forward.Packet, d *forward.Decision, u *catalog.Entry) {
+	id := event.RequestForwarded
+	if d.Action != forward.Forward {
+		id = event.RequestStopped
+	}
+	held := l.held()
+	attrs := append(flowOf(p), slog.String("request", request), slog.String("reason", d.Reason.String()),
+		slog.Uint64("revision", uint64(held.Complete)), slog.Int64("ageMillis", int64(l.clk.Now()-held.ConfirmedAt)))
+	if u != nil {
+		attrs = append(attrs, slog.String("upstream", string(u.ID)), slog.Bool("published", !u.Removed))
+	}
+	event.Log(context.Background(), l.log, id, attrs...)
+}
--- a/amaranthd/entry/keeper.go
+++ b/amaranthd/entry/keeper.go
@@ -169,6 +169,8 @@
 		case errors.Is(err, ErrForgotten), errors.Is(err, errKicked):
 			k.readAt = 0
 		default:
+			// A watch may have fallen silent while plain reads are answered.
+			k.readAt = 0
 			k.failed(ctx, err)
 			// A call that took long has waited enough.
 			sleep(ctx, max(1, retry-(k.clk.Now()-called)))
--- a/amaranthd/entry/path.go
+++ b/amaranthd/entry/path.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 	"golang.org/x/net/ipv4"
 
+	"github.com/amaranthswitch/amaranthswitch/fleet/catalog"
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
 	"github.com/amaranthswitch/amaranthswitch/fleet/forward"
 )
@@ -27,6 +28,8 @@
 	codec  Codec
 	engine *forward.Engine
 	clk    clock.Clock
+	// requests logs what is decided about requests.
+	requests requestLog
 	// replyPort is the port at which callers take packets.
 	replyPort uint16
 
@@ -39,7 +42,7 @@
 	lastPacket                  atomic.Int64 // clock.Millis
 }
 
-func newPath(ctx context.Context, set *Settings, a *Adapter, engine *forward.Engine, clk clock.Clock) (p *path, cleanup func(), err error) {
+func newPath(ctx context.Context, set *Settings, a *Adapter, engine *forward.Engine, clk clock.Clock, requests requestLog) (p *path, cleanup func(), err error) {
 	defer func() { err = eris.Wrapf(err, "entry: open packets address %s", set.Packets) }()
 	var lc net.ListenConfig
 	pc, err := lc.ListenPacket(ctx, "udp4", set.Packets.String())
@@ -48,7 +51,7 @@
 	}
 	conn := pc.(*net.UDPConn)
 	_ = conn.SetReadBuffer(socketBufferBytes)
-	p = &path{conn: conn, batch: ipv4.NewPacketConn(conn), codec: a.Codec, engine: engine, clk: clk, replyPort: set.Packets.Port()}
+	p = &path{conn: conn, batch: ipv4.NewPacketConn(conn), codec: a.Codec, engine: engine, clk: clk, replyPort: set.Packets.Port(), requests: requests}
 	p.makeBuffers()
 	return p, func() { _ = conn.Close() }, nil
 }
@@ -97,6 +100,9 @@
 		return
 	}
 	d := p.engine.Handle(now, &packet)
+	if packet.Bytes > 0 {
+		p.logRequest(data, &packet, &d)
+	}
 	switch d.Action {
 	case forward.Forward:
 		if packet.Opening {
@@ -113,6 +119,19 @@
 	}
 }
 
+// logRequest logs the decision about a packet that begins a request.
+func (p *path) logRequest(data []byte, packet *forward.Packet, d *forward.Decision) {
+	request := p.codec.Request(data)
+	if request == "" {
+		return
+	}
+	var upstream *catalog.Entry
+	if c := p.engine.Catalog(); c != nil {
+		upstream, _ = c.ByToken(packet.Token)
+	}
+	p.requests.decided(request, packet, d, upstream)
+}
+
 // queue adds a datagram to the batch. At most one is queued for each packet
 // that was read.
 func (p *path) queue(data []byte, to netip.AddrPort) {
--- a/amaranthd/entry/peers.go
+++ b/amaranthd/entry/peers.go
@@ -284,6 +284,16 @@
 	p.round(context.Background())
 }
 
+// living returns the VMs heard lately.
+func (p *peers) living() (ids []ident.VMID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, peer := range p.group.Alive(p.clk.Now()) {
+		ids = append(ids, peer.ID)
+	}
+	return ids
+}
+
 func (p *peers) setSeeds(seeds []netip.AddrPort) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/amaranthd/entry/settings.go
+++ b/amaranthd/entry/settings.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"net/netip"
 	"os"
 
@@ -57,12 +58,32 @@
 // that are not known are an error.
 func ParseSettings(data []byte) (s Settings, err error) {
 	s = DefaultSettings()
+	if err = decodeSettings(data, &s); err != nil {
+		return s, nameField(data, err)
+	}
+	return s, s.check()
+}
+
+func decodeSettings(data []byte, s *Settings) error {
 	dec := json.NewDecoder(bytes.NewReader(data))
 	dec.DisallowUnknownFields()
-	if err = dec.Decode(&s); err != nil {
-		return s, err
+	return dec.Decode(s)
+}
+
+// nameField adds the name of the field that cannot be decoded to err. The
+// decoder does not tell it for values that decode themselves.
+func nameField(data []byte, err error) error {
+	var fields map[string]json.RawMessage
+	if json.Unmarshal(data, &fields) != nil {
+		return err
 	}
-	return s, s.check()
+	for name, value := range fields {
+		one, _ := json.Marshal(map[string]json.RawMessage{name: value})
+		if err := decodeSettings(one, &Settings{}); err != nil {
+			return fmt.Errorf("field %s: %w", name, err)
+		}
+	}
+	return err
 }
 
 func (s *Settings) check() error {
@@ -88,5 +109,14 @@
 			return fmt.Errorf("field %s: %d is not positive", m.field, m.value)
 		}
 	}
+	if _, err := s.Level(); err != nil {
+		return fmt.Errorf("field logLevel: %q is neither debug, info, warn nor error", s.LogLevel)
+	}
 	return nil
 }
+
+// Level returns the level of log lines.
+func (s *Settings) Level() (l slog.Level, err error) {
+	err = l.UnmarshalText([]byte(s.LogLevel))
+	return l, err
+}
--- a/fleet/event/event.go
+++ b/fleet/event/event.go
@@ -18,6 +18,7 @@
 	SettingsFailed ID = 1006
 	LinesDropped   ID = 1007
 	SettingsTaken  ID = 1008
+	LinesOmitted   ID = 1009
 )
 
 // Events of the configuration.
@@ -61,6 +62,9 @@
 	DomainHealth   ID = 6007
 	CatalogTaken   ID = 6008
 	DomainHeard    ID = 6009
+	// RequestForwarded and RequestStopped tell of packets that begin a request.
+	RequestForwarded ID = 6010
+	RequestStopped   ID = 6011
 )
 
 // Events of requests.
@@ -89,6 +93,9 @@
 	DomainHealth:      "domainHealth",
 	CatalogTaken:      "catalogTaken",
 	DomainHeard:       "domainHeard",
+	RequestForwarded:  "requestForwarded",
+	RequestStopped:    "requestStopped",
+	LinesOmitted:      "linesOmitted",
 	ConfigAccepted:    "configAccepted",
 	ConfigInvalid:     "configInvalid",
 	ConfigOlder:       "configOlder",
@@ -117,8 +124,9 @@
 	PauseDetected:     slog.LevelWarn,
 	SettingsFailed:    slog.LevelError,
 	LinesDropped:      slog.LevelWarn,
+	LinesOmitted:      slog.LevelWarn,
+	RequestStopped:    slog.LevelWarn,
 	ItemInvalid:       slog.LevelError,
-	FlowPlaced:        slog.LevelDebug,
 	FlowRefused:       slog.LevelWarn,
 	FlowLost:          slog.LevelWarn,
 	UpstreamHealth:    slog.LevelWarn,
--- a/fleet/forward/engine.go
+++ b/fleet/forward/engine.go
@@ -40,6 +40,9 @@
 	Placed func(p *Packet, d *Decision, u *catalog.Entry)
 	// Lost is told of each flow that is reset since its upstream is lost.
 	Lost func(p *Packet, u *catalog.Entry)
+	// Opened is told how long an upstream took to answer an opening packet, and
+	// Answered how long it took to answer a request, seen from this VM.
+	Opened, Answered func(took clock.Millis)
 }
 
 // Option configures an Engine.
@@ -71,7 +74,7 @@
 	swept     int
 	learnedAt clock.Millis
 
-	// Forwarded, Placed and Unplaced count packets by what was decided.
+	// Forwarded counts packets, Placed new flows.
 	Forwarded, Placed atomic.Int64
 	// Refused and Dropped count packets by reason.
 	Refused, Dropped [ReasonCount]atomic.Int64
@@ -92,6 +95,7 @@
 			Health: func(*catalog.Entry, bool, string, string) {},
 			Placed: func(*Packet, *Decision, *catalog.Entry) {},
 			Lost:   func(*Packet, *catalog.Entry) {},
+			Opened: func(clock.Millis) {}, Answered: func(clock.Millis) {},
 		},
 	}
 	e.vms.Store(&[]ident.VMID{self})
@@ -243,14 +247,20 @@
 		return
 	}
 	f.count()
-	answered := f.linked && int32(p.Ack-f.ack) > 0
-	if answered || !f.linked && f.opened {
+	switch {
+	case f.linked && int32(p.Ack-f.ack) > 0:
 		e.proved(now, f)
+		if f.answered() {
+			e.seams.Answered(now - f.sentAt)
+		}
+	case !f.linked && f.opened:
+		e.proved(now, f)
+		e.seams.Opened(now - f.sentAt)
 	}
-	if answered {
-		f.answered()
+	if !f.linked {
+		f.linked = true
+		f.sentAt = now
 	}
-	f.linked = true
 	f.ack = p.Ack
 	if p.Bytes == 0 {
 		return
--- /dev/null
+++ b/fleet/forward/engine_test.go
@@ -0,0 +1,304 @@
+package forward
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/amaranthswitch/amaranthswitch/fleet/catalog"
+	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
+	"github.com/amaranthswitch/amaranthswitch/fleet/ident"
+	"github.com/amaranthswitch/amaranthswitch/fleet/replica"
+)
+
+var (
+	webAddress  = netip.MustParseAddrPort("198.51.100.1:443")
+	bothAddress = netip.MustParseAddrPort("198.51.100.2:443")
+)
+
+// published builds a catalog of the given upstreams of the services web and
+// api, of which bothAddress leads to either.
+func published(now clock.Millis, coldPerSecond float64, upstreams ...catalog.Upstream) *catalog.Catalog {
+	items := []replica.Item{{Key: "config", Revision: 1, Created: 1}}
+	for i := range upstreams {
+		items = append(items, replica.Item{Key: replica.Key(fmt.Sprint(i)), Revision: replica.Revision(i + 2), Created: replica.Revision(i + 2)})
+	}
+	b := catalog.NewBuilder(func(item replica.Item) (c catalog.Change, err error) {
+		if item.Key != "config" {
+			u := upstreams[item.Revision-2]
+			c.Upstream = &u
+			return c, nil
+		}
+		c.Config = &catalog.Config{
+			Routes: []catalog.Route{
+				{Address: webAddress, Targets: []catalog.Target{{Service: "web", Weight: 1}}},
+				{Address: bothAddress, Targets: []catalog.Target{{Service: "web", Weight: 90}, {Service: "api", Weight: 10}}},
+			},
+			Services: []catalog.Service{{Name: "web", ColdPerSecond: coldPerSecond}, {Name: "api"}},
+		}
+		return c, nil
+	}, func(replica.Item, error) {}, 0)
+	b.Take(now, items, false)
+	return b.Build(99)
+}
+
+func upstream(i int, service ident.ServiceName, domain ident.DomainName) catalog.Upstream {
+	return catalog.Upstream{
+		ID: catalog.UpstreamID(fmt.Sprint(service, domain, i)), Name: catalog.PacketName(i), Service: service, Domain: domain, Slots: 2,
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 80),
+	}
+}
+
+func opening(i int, service netip.AddrPort) *Packet {
+	return &Packet{
+		Caller:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 0, byte(i >> 8), byte(i)}), uint16(1024+i)),
+		Service: service, Opening: true, Seq: uint32(i),
+	}
+}
+
+func TestHandle(t *testing.T) {
+	e := New("vm", "a")
+	assert.Equal(t, e.Handle(1, opening(1, webAddress)).Reason, NoCatalog)
+	e.SetCatalog(published(1, 0, upstream(1, "web", "a"), upstream(2, "api", "a")))
+	placed := e.Handle(1, opening(1, webAddress))
+	assert.Equal(t, placed.Action, Forward)
+	assert.Equal(t, placed.Name, catalog.PacketName(1))
+
+	follow := Packet{Caller: opening(1, webAddress).Caller, Service: webAddress, Token: placed.Token, Seq: 2, Ack: 9}
+	assert.Equal(t, e.Handle(2, &follow).Name, catalog.PacketName(1))
+	other := New("other", "b")
+	other.SetCatalog(published(1, 0, upstream(1, "web", "a"), upstream(2, "api", "a")))
+	assert.Equal(t, other.Handle(2, &follow).Name, catalog.PacketName(1), "another VM forwards alike")
+
+	unknown := follow
+	unknown.Token++
+	assert.Equal(t, e.Handle(3, &unknown).Reason, UnknownToken)
+	lost := follow
+	lost.Service = netip.MustParseAddrPort("198.51.100.9:1")
+	d := e.Handle(3, &lost)
+	assert.Equal(t, d.Action, Refuse)
+	assert.Equal(t, d.Reason, NoRoute)
+	e.SetCatalog(published(4, 0, upstream(2, "api", "a")))
+	assert.Equal(t, e.Handle(4, opening(2, webAddress)).Reason, NoUpstream)
+}
+
+// TestCopiesStay sends copies of opening packets. They go where the first one
+// went, so that a flow never opens on two upstreams.
+func TestCopiesStay(t *testing.T) {
+	e := New("vm", "a")
+	var list []catalog.Upstream
+	for i := range 8 {
+		list = append(list, upstream(i+1, "web", "a"))
+	}
+	e.SetCatalog(published(1, 0, list...))
+	for i := range 200 {
+		first := e.Handle(1000, opening(i, webAddress))
+		e.Handle(1100, opening(1000+i, webAddress))
+		copied := opening(i, webAddress)
+		copied.Copies = 1
+		assert.Equal(t, e.Handle(1120, copied).Name, first.Name)
+	}
+}
+
+// TestCopyLeavesSilentUpstream sends a copy after others waited in vain.
+func TestCopyLeavesSilentUpstream(t *testing.T) {
+	e := New("vm", "a")
+	e.SetCatalog(published(1, 0, upstream(1, "web", "a"), upstream(2, "web", "a")))
+	byName := make(map[catalog.PacketName][]int)
+	for i := range 8 {
+		d := e.Handle(1000, opening(i, webAddress))
+		byName[d.Name] = append(byName[d.Name], i)
+	}
+	again := func(now clock.Millis, i int) catalog.PacketName {
+		p := opening(i, webAddress)
+		p.Copies = 1
+		return e.Handle(now, p).Name
+	}
+	assert.Equal(t, again(1200, byName[1][0]), catalog.PacketName(1), "one lost packet proves nothing")
+	assert.Equal(t, again(1200, byName[1][1]), catalog.PacketName(2))
+}
+
+func TestWeightsAgree(t *testing.T) {
+	list := []catalog.Upstream{upstream(1, "web", "a"), upstream(2, "api", "a")}
+	a, b := New("vm1", "a"), New("vm2", "b")
+	a.SetCatalog(published(1, 0, list...))
+	b.SetCatalog(published(1, 0, list...))
+	api := 0
+	for i := range 2000 {
+		da, db := a.Handle(1, opening(i, bothAddress)), b.Handle(1, opening(i, bothAddress))
+		assert.Equal(t, da.Name, db.Name)
+		if da.Name == 2 {
+			api++
+		}
+	}
+	assert.Assert(t, api > 140 && api < 260, "%d of 2000 at weight 10 of 100", api)
+}
+
+// TestRepeatsInOneBurst hands over a queue of packets that waited during a
+// pause, originals and copies together: nothing is held against the upstream.
+func TestRepeatsInOneBurst(t *testing.T) {
+	e := New("vm", "a")
+	e.SetCatalog(published(1, 0, upstream(1, "web", "a")))
+	for i := range 50 {
+		d := e.Handle(1000, opening(i, webAddress))
+		for range 3 {
+			data := Packet{Caller: opening(i, webAddress).Caller, Service: webAddress, Token: d.Token, Seq: uint32(i) + 1, Bytes: 100}
+			assert.Equal(t, e.Handle(1001, &data).Action, Forward)
+		}
+	}
+	assert.Equal(t, len(e.GivenUp()), 0)
+}
+
+// TestGivenUpSparesWhatMayBeAnswered finds an upstream lost while one flow
+// waits for an answer to what it sent before the last sign of life.
+func TestGivenUpSparesWhatMayBeAnswered(t *testing.T) {
+	e := New("vm", "a")
+	e.SetCatalog(published(1, 0, upstream(1, "web", "a")))
+	send := func(now clock.Millis, i, ack int, bytes int) Decision {
+		token := e.view.Load().catalog.Serving("web")[0].Token
+		return e.Handle(now, &Packet{
+			Caller: opening(i, webAddress).Caller, Service: webAddress, Token: token,
+			Seq: uint32(i) + 1, Ack: uint32(ack), Bytes: bytes,
+		})
+	}
+	for i := range 5 {
+		e.Handle(1000, opening(i, webAddress))
+	}
+	send(1010, 0, 1, 100) // may be answered
+	send(1020, 4, 1, 0)   // the last sign of life
+	for i := 1; i <= 3; i++ {
+		send(1030, i, 1, 100)
+	}
+	for i := 1; i <= 3; i++ {
+		send(1300, i, 1, 100)
+	}
+	given := e.GivenUp()
+	assert.Equal(t, len(given), 2, "the third was reset by its own packet")
+	for _, p := range given {
+		assert.Assert(t, p.Caller != opening(0, webAddress).Caller)
+	}
+}
+
+// TestSharesStayWithinRate lets VMs with any partial knowledge of each other
+// place flows on a cold upstream. As long as each counts all that place, the
+// sum stays within what the upstream bears.
+func TestSharesStayWithinRate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 12).Draw(t, "vms")
+		rate := rapid.Float64Range(0, 40).Draw(t, "rate")
+		var ids []ident.VMID
+		for i := range n {
+			ids = append(ids, ident.VMID(fmt.Sprint("vm", i)))
+		}
+		cold := upstream(1, "web", "a")
+		cold.ColdMillis = 3000
+		engines := make([]*Engine, n)
+		for i := range engines {
+			engines[i] = New(ids[i], "a")
+			engines[i].SetCatalog(published(0, rate, cold))
+			engines[i].SetVMs(ids, n)
+		}
+		var placed []clock.Millis
+		for now := clock.Millis(1); now < 3000; now += 5 {
+			for i, e := range engines {
+				if e.Handle(now, opening(int(now)*n+i, webAddress)).Action == Forward {
+					placed = append(placed, now)
+				}
+			}
+		}
+		first := 0
+		for i, at := range placed {
+			for at-placed[first] >= clock.Second {
+				first++
+			}
+			assert.Assert(t, float64(i-first+1) <= max(rate, 0), "%d in a second at %g", i-first+1, rate)
+		}
+	})
+}
+
+// TestLoadsReturnToNothing opens and ends flows in every way. No load remains.
+func TestLoadsReturnToNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e := New("vm", "a")
+		e.SetCatalog(published(1, 0, upstream(1, "web", "a"), upstream(2, "web", "b")))
+		now := clock.Millis(1000)
+		tokens := make(map[int]catalog.Token)
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			now += clock.Millis(rapid.IntRange(0, 300).Draw(t, "wait"))
+			i := rapid.IntRange(0, 5).Draw(t, "flow")
+			p := *opening(i, webAddress)
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0:
+				if d := e.Handle(now, &p); d.Action == Forward {
+					tokens[i] = d.Token
+				}
+			case 1:
+				p.Opening, p.Token, p.Seq, p.Bytes = false, tokens[i], rapid.Uint32Range(0, 500).Draw(t, "seq"), 100
+				p.Ack = rapid.Uint32Range(0, 500).Draw(t, "ack")
+				e.Handle(now, &p)
+			case 2:
+				p.Opening, p.Token, p.Closing = false, tokens[i], true
+				e.Handle(now, &p)
+			default:
+				e.Tick(now)
+				e.GivenUp()
+			}
+		}
+		for range 2 * shardCount {
+			now += idleLife
+			e.Tick(now)
+		}
+		for _, target := range e.view.Load().targets {
+			assert.Equal(t, target.load.busy.Load(), int32(0))
+			assert.Equal(t, target.load.steady.Load(), int32(0))
+		}
+		assert.Equal(t, e.routes.of(webAddress).open.Load(), int32(0))
+		assert.Equal(t, e.routes.of(webAddress).busy.Load(), int32(0))
+	})
+}
+
+func TestHandleDoesNotAllocate(t *testing.T) {
+	e := New("vm", "a")
+	e.SetCatalog(published(1, 0, upstream(1, "web", "a"), upstream(2, "web", "a")))
+	d := e.Handle(1, opening(1, webAddress))
+	p := Packet{Caller: opening(1, webAddress).Caller, Service: webAddress, Token: d.Token, Seq: 2, Ack: 9, Bytes: 100}
+	now := clock.Millis(1)
+	allocs := testing.AllocsPerRun(1000, func() {
+		now++
+		p.Ack++
+		e.Handle(now, &p)
+	})
+	assert.Equal(t, allocs, 0.0)
+}
+
+func BenchmarkFollow(b *testing.B) {
+	e := New("vm", "a")
+	e.SetCatalog(published(1, 0, upstream(1, "web", "a")))
+	d := e.Handle(1, opening(1, webAddress))
+	p := Packet{Caller: opening(1, webAddress).Caller, Service: webAddress, Token: d.Token, Seq: 2, Ack: 9, Bytes: 100}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		p.Ack++
+		e.Handle(clock.Millis(i/1000), &p)
+	}
+}
+
+func BenchmarkPlace(b *testing.B) {
+	for _, n := range []int{14, 120, 3300} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			e := New("vm", "a")
+			var list []catalog.Upstream
+			for i := range n {
+				list = append(list, upstream(i+1, "web", "a"))
+			}
+			e.SetCatalog(published(1, 0, list...))
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				e.Handle(1, opening(i%60000, webAddress))
+			}
+		})
+	}
+}
--- a/fleet/forward/flows.go
+++ b/fleet/forward/flows.go
@@ -122,16 +122,18 @@
 	}
 }
 
-// answered ends the request under way with an answer.
-func (f *flow) answered() {
+// answered ends the request under way with an answer. It reports whether one
+// was under way.
+func (f *flow) answered() bool {
 	if f.busyAt == 0 {
-		return
+		return false
 	}
 	f.finish()
 	if f.answers == 0 {
 		f.route.open.Add(1)
 	}
 	f.answers = min(f.answers+1, maxAnswers)
+	return true
 }
 
 // uncount takes the flow out of the load of its upstream.
@@ -179,12 +181,12 @@
 }
 
 // giveUp ends the flows to l that wait for an answer to what they sent after
-// the given time, and appends a packet of each.
+// the given time or at it, and appends a packet of each.
 func (s *shard) giveUp(l *upstreamLoad, after clock.Millis, packets []Packet) []Packet {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for k, f := range s.flows {
-		if f.target.load != l || f.closed || f.busyAt == 0 || f.sentAt <= after {
+		if f.target.load != l || f.closed || f.busyAt == 0 || f.sentAt < after {
 			continue
 		}
 		packets = append(packets, Packet{
--- a/fleet/forward/packet.go
+++ b/fleet/forward/packet.go
@@ -50,9 +50,6 @@
 	NoUpstream
 	// UnknownToken means that the token names no known upstream.
 	UnknownToken
-	// WrongService means that the token names an upstream that the address
-	// never led to.
-	WrongService
 	// UpstreamLost means that the upstream is gone or silent, so that the flow
 	// cannot go on.
 	UpstreamLost
@@ -62,7 +59,7 @@
 
 // String returns the reason as logs and metrics show it.
 func (r Reason) String() string {
-	return [...]string{"none", "noCatalog", "noRoute", "noUpstream", "unknownToken", "wrongService", "upstreamLost"}[r]
+	return [...]string{"none", "noCatalog", "noRoute", "noUpstream", "unknownToken", "upstreamLost"}[r]
 }
 
 // Decision is what to do with a packet.
--- /dev/null
+++ b/standin/flowend/upstream.go
@@ -0,0 +1,128 @@
+package flowend
+
+import (
+	"context"
+	"encoding/binary"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Upstream answers each request with its own word and the request.
+type Upstream struct {
+	conn      *net.UDPConn
+	name      uint64
+	word      string
+	replyPort uint16
+
+	mu      sync.Mutex
+	flows   map[netip.AddrPort]uint32 // caller's end to the upstream's sequence number
+	opened  []time.Time
+	strange int
+	dark    bool
+}
+
+// StartUpstream serves at address under the name that packets bear, until the
+// returned function is called. Callers are answered at replyPort.
+func StartUpstream(ctx context.Context, address string, name uint64, word string, replyPort uint16) (u *Upstream, stop func(), err error) {
+	defer func() { err = eris.Wrap(err, "flowend: start upstream") }()
+	var lc net.ListenConfig
+	pc, err := lc.ListenPacket(ctx, "udp4", address)
+	if err != nil {
+		return nil, nil, err
+	}
+	u = &Upstream{conn: pc.(*net.UDPConn), name: name, word: word, replyPort: replyPort, flows: make(map[netip.AddrPort]uint32)}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		u.read()
+	}()
+	return u, func() { _ = u.conn.Close(); <-ended }, nil
+}
+
+// Address returns where the upstream takes packets.
+func (u *Upstream) Address() string { return u.conn.LocalAddr().String() }
+
+// SetDark makes the upstream silent, as if without power, or ends that.
+func (u *Upstream) SetDark(dark bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.dark = dark
+}
+
+// Opened returns the number of flows opened after a time.
+func (u *Upstream) Opened(after time.Time) (n int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, at := range u.opened {
+		if at.After(after) {
+			n++
+		}
+	}
+	return n
+}
+
+// Strange returns the number of packets that were changed or that belong to no
+// flow of the upstream.
+func (u *Upstream) Strange() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.strange
+}
+
+func (u *Upstream) read() {
+	buf := make([]byte, 2048)
+	for {
+		n, err := u.conn.Read(buf)
+		if err != nil {
+			return
+		}
+		if n < nameBytes {
+			continue
+		}
+		if name := binary.BigEndian.Uint64(buf); name != u.name && name != 0 {
+			continue
+		}
+		p, ok := Parse(buf[nameBytes:n])
+		u.take(p, ok)
+	}
+}
+
+func (u *Upstream) take(p Packet, intact bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.dark {
+		return
+	}
+	if !intact {
+		u.strange++
+		return
+	}
+	seq, known := u.flows[p.From]
+	switch {
+	case p.Flags&Opening != 0:
+		if !known {
+			seq = 5000
+			u.flows[p.From] = seq
+			u.opened = append(u.opened, time.Now())
+		}
+		u.send(p, Opening|Ack, seq-1, p.Seq+1, nil)
+	case !known:
+		u.strange++
+		u.send(p, Reset, p.Ack, 0, nil)
+	case p.Flags&(Closing|Reset) != 0:
+		delete(u.flows, p.From)
+	case len(p.Data) > 0:
+		answer := append([]byte(u.word+":"), p.Data...)
+		u.send(p, Ack, p.Ack, p.Seq+uint32(len(p.Data)), answer)
+	}
+}
+
+// send answers a packet towards its caller.
+func (u *Upstream) send(to Packet, flags byte, seq, ack uint32, data []byte) {
+	p := Packet{Flags: flags, Token: to.Token, Seq: seq, Ack: ack, To: to.From, From: to.To, Data: data}
+	_, _ = u.conn.WriteToUDPAddrPort(p.Append(nil), netip.AddrPortFrom(to.From.Addr(), u.replyPort))
+}
