Explain requests from logs, tell neighbours of being stranded

Cause: on-call engineers have only logs and metrics.

VMs tell that they reach neither another failure domain nor an upstream, and a newcomer in the same place believes its neighbours. No new flows go to failure domains none of whose VMs is heard.

--- /dev/null
+++ b/amaranthctl/explain.go
@@ -0,0 +1,269 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/urfave/cli/v3"
+)
+
+const (
+	// beliefsBefore and beliefsAfter bound the time around a request in which
+	// what daemons came to believe is shown.
+	beliefsBefore = 10 * time.Second
+	beliefsAfter  = 3 * time.Second
+	maxLineBytes  = 1 << 20
+)
+
+// logLine is a line of a daemon's log.
+type logLine struct {
+	Time     time.Time `json:"time"`
+	Message  string    `json:"msg"`
+	VM       string    `json:"vm"`
+	Request  string    `json:"request"`
+	Caller   string    `json:"caller"`
+	Service  string    `json:"service"`
+	Upstream string    `json:"upstream"`
+	Domain   string    `json:"domain"`
+	Key      string    `json:"key"`
+	Reason   string    `json:"reason"`
+	To       string    `json:"to"`
+	raw      json.RawMessage
+}
+
+// cause is what most likely ended a request.
+type cause string
+
+// Causes, in the order in which they are looked for.
+const (
+	causePartition    cause = "the upstream's failure domain could not be reached from the VM"
+	causeUpstreamLost cause = "the upstream fell silent and the flow was reset"
+	causeNoRoute      cause = "the address led to no service in the configuration that the VM knew"
+	causeNoUpstream   cause = "no upstream of the service took new flows"
+	causeUnknownToken cause = "the packets named an upstream that the VM did not know"
+	causeRemoved      cause = "the upstream was no longer published"
+	causeNone         cause = "the daemons forwarded it and saw nothing wrong"
+)
+
+// explanation is the history of a request.
+type explanation struct {
+	Request string            `json:"request"`
+	Cause   cause             `json:"cause"`
+	Lines   []json.RawMessage `json:"lines"`
+}
+
+func explainCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "explain",
+		Usage:     "show from daemons' logs what became of a request and why",
+		ArgsUsage: "ID [LOG-FILE...]",
+		Description: "ID is a request's identifier, or a caller's address and port for all of a flow.\n" +
+			"Without files, the logs are read from standard input.\n" +
+			"Exit status: 0 if the request was found, 1 otherwise.",
+		Flags: []cli.Flag{&cli.BoolFlag{Name: "json", Usage: "print the history as JSON"}},
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			if cmd.Args().Len() == 0 {
+				return errors.New("explain takes the identifier of a request")
+			}
+			lines, err := readLogs(cmd.Args().Tail(), os.Stdin)
+			if err != nil {
+				return err
+			}
+			e, err := explain(cmd.Args().First(), lines)
+			if err != nil {
+				return err
+			}
+			return e.print(os.Stdout, cmd.Bool("json"))
+		},
+	}
+}
+
+// readLogs reads the files, or in if there are none, in the order of time.
+func readLogs(files []string, in io.Reader) (lines []logLine, err error) {
+	if len(files) == 0 {
+		lines, err = scanLog(in)
+		return lines, eris.Wrap(err, "standard input")
+	}
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, err
+		}
+		found, err := scanLog(f)
+		_ = f.Close()
+		if err != nil {
+			return nil, eris.Wrap(err, name)
+		}
+		lines = append(lines, found...)
+	}
+	slices.SortStableFunc(lines, func(a, b logLine) int { return a.Time.Compare(b.Time) })
+	return lines, nil
+}
+
+// scanLog reads the lines that are JSON objects, with whatever a collector of
+// logs wrote before them, and leaves out the others.
+func scanLog(r io.Reader) (lines []logLine, err error) {
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, maxLineBytes)
+	for s.Scan() {
+		at := bytes.IndexByte(s.Bytes(), '{')
+		if at < 0 {
+			continue
+		}
+		text := bytes.Clone(s.Bytes()[at:])
+		var l logLine
+		if json.Unmarshal(text, &l) != nil || l.Message == "" {
+			continue
+		}
+		l.raw = text
+		lines = append(lines, l)
+	}
+	return lines, s.Err()
+}
+
+// explain collects what concerns the request: its own lines, those of its flows,
+// and what the VMs concerned came to believe shortly before and after.
+func explain(id string, lines []logLine) (e explanation, err error) {
+	e.Request = id
+	callers := make(map[string]bool)
+	for _, l := range lines {
+		if l.Caller != "" && (l.Request == id || l.Caller == id) {
+			callers[l.Caller] = true
+		}
+	}
+	if len(callers) == 0 {
+		return e, fmt.Errorf("explain: no line of the logs names %q", id)
+	}
+	var own []logLine
+	for _, l := range lines {
+		if callers[l.Caller] && (l.Request == "" || l.Request == id || l.Caller == id) {
+			own = append(own, l)
+		}
+	}
+	related := relate(own, lines)
+	e.Cause = findCause(own, related)
+	for _, l := range related {
+		e.Lines = append(e.Lines, l.raw)
+	}
+	return e, nil
+}
+
+// relate returns the request's lines with the beliefs that may have decided
+// them.
+func relate(own, lines []logLine) (related []logLine) {
+	vms, upstreams, domains := make(map[string]bool), make(map[string]bool), make(map[string]bool)
+	for _, l := range own {
+		vms[l.VM] = true
+		upstreams[l.Upstream] = l.Upstream != ""
+		domains[l.Domain] = l.Domain != ""
+	}
+	first, last := own[0].Time.Add(-beliefsBefore), own[len(own)-1].Time.Add(beliefsAfter)
+	mine := make(map[string]bool, len(own))
+	for _, l := range own {
+		mine[string(l.raw)] = true
+	}
+	for _, l := range lines {
+		within := !l.Time.Before(first) && !l.Time.After(last)
+		if mine[string(l.raw)] || within && vms[l.VM] && l.isBelief(upstreams, domains) {
+			related = append(related, l)
+		}
+	}
+	slices.SortStableFunc(related, func(a, b logLine) int { return a.Time.Compare(b.Time) })
+	return related
+}
+
+// isBelief reports whether the line tells of a change of what its VM believes
+// that concerns one of the upstreams or failure domains.
+func (l *logLine) isBelief(upstreams, domains map[string]bool) bool {
+	switch l.Message {
+	case "upstreamHealth":
+		return upstreams[l.Upstream]
+	case "domainHealth", "domainHeard":
+		return domains[l.Domain]
+	case "itemChanged", "itemInvalid":
+		name := l.Key[strings.LastIndexByte(l.Key, '/')+1:]
+		return upstreams[name] || domains[name] || strings.HasSuffix(l.Key, "config")
+	case "daemonStarted", "daemonLeaving", "daemonStopped", "pauseDetected", "platformDown", "platformBack", "catalogTaken":
+		return true
+	}
+	return false
+}
+
+// findCause names the most specific cause that the lines show.
+func findCause(own, related []logLine) cause {
+	reasons, lost := make(map[string]bool), make(map[string]bool)
+	removed := false
+	for _, l := range own {
+		reasons[l.Reason] = true
+		lost[l.Domain] = lost[l.Domain] || l.Message == "flowLost"
+		removed = removed || strings.Contains(string(l.raw), `"published":false`)
+	}
+	for _, l := range related {
+		if l.Message == "domainHeard" && lost[l.Domain] && strings.Contains(string(l.raw), `"heard":false`) ||
+			l.Message == "domainHealth" && lost[l.Domain] && l.To == "lost" {
+			return causePartition
+		}
+	}
+	switch {
+	case reasons["upstreamLost"]:
+		return causeUpstreamLost
+	case reasons["noRoute"]:
+		return causeNoRoute
+	case reasons["noUpstream"]:
+		return causeNoUpstream
+	case reasons["unknownToken"]:
+		return causeUnknownToken
+	case removed:
+		return causeRemoved
+	}
+	return causeNone
+}
+
+// print writes the history as text or as JSON.
+func (e *explanation) print(w io.Writer, asJSON bool) error {
+	if asJSON {
+		enc := json.NewEncoder(w)
+		enc.SetIndent("", "  ")
+		return enc.Encode(e)
+	}
+	for _, raw := range e.Lines {
+		if err := printLine(w, raw); err != nil {
+			return err
+		}
+	}
+	_, err := fmt.Fprintf(w, "cause: %s\n", e.Cause)
+	return err
+}
+
+// printLine writes the time, the VM and the event of a line, and then its other
+// fields by name.
+func printLine(w io.Writer, raw json.RawMessage) error {
+	var fields map[string]any
+	if err := json.Unmarshal(raw, &fields); err != nil {
+		return err
+	}
+	text := fmt.Sprintf("%v %v %v", fields["time"], fields["vm"], fields["msg"])
+	for _, name := range []string{"time", "vm", "msg", "level", "event"} {
+		delete(fields, name)
+	}
+	names := make([]string, 0, len(fields))
+	for name := range fields {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		text += fmt.Sprintf(" %s=%v", name, fields[name])
+	}
+	_, err := fmt.Fprintln(w, text)
+	return err
+}
--- a/amaranthctl/main.go
+++ b/amaranthctl/main.go
@@ -1,5 +1,5 @@
 // Command amaranthctl is the operators' command: it checks and compares
-// configuration files and shows the state of daemons.
+// configuration files, explains requests from logs and shows the state of daemons.
 package main
 
 import (
@@ -21,6 +21,6 @@
 	return &cli.Command{
 		Name:     "amaranthctl",
 		Usage:    "check configuration files and look at daemons",
-		Commands: []*cli.Command{checkCommand(), diffCommand(), statusCommand()},
+		Commands: []*cli.Command{checkCommand(), diffCommand(), explainCommand(), statusCommand()},
 	}
 }
--- a/amaranthd/entry/daemon.go
+++ b/amaranthd/entry/daemon.go
@@ -191,6 +191,7 @@
 		pool: p.Pool, server: p.Server, observe: p.Observe, started: p.Options.clk.Now(), linesDropped: p.Options.linesDropped,
 	}
 	p.Keeper.news = p.Peers.news
+	p.Server.Handle(methodStatus, d.serveStatus)
 	cleanup, err := d.serveReady(ctx, p.Set.Ready, p.Adapter.ReadyPath)
 	if err != nil {
 		return nil, err
@@ -233,14 +234,9 @@
 	return func() { _ = srv.Close(); <-ended }, nil
 }
 
-// ready reports whether this VM takes packets. One that is cut off from all
-// other failure domains and reaches no upstream in its own leaves the packets
-// to VMs elsewhere.
+// ready reports whether this VM takes packets.
 func (d *Daemon) ready() bool {
-	if d.leaving.Load() || !d.engine.Ready() {
-		return false
-	}
-	return !d.peers.isolated.Load() || !d.engine.Stranded(d.clk.Now())
+	return !d.leaving.Load() && d.engine.Ready() && !d.peers.stranded.Load()
 }
 
 // Run runs the daemon until ctx ends, and then until it has stopped taking
--- a/amaranthd/entry/metrics.go
+++ b/amaranthd/entry/metrics.go
@@ -26,7 +26,7 @@
 		"amaranth_entry_source_calls_total":      d.keeper.calls.Load,
 		"amaranth_entry_source_failures_total":   d.keeper.failures.Load,
 		"amaranth_entry_reader_rank":             d.keeper.rank.Load,
-		"amaranth_entry_peers":                   func() int64 { return int64(len(d.peers.living())) },
+		"amaranth_entry_peers":                   func() int64 { return int64(len(d.peers.status())) },
 		"amaranth_entry_peer_bytes_out_total":    d.peers.bytesOut.Load,
 		"amaranth_entry_peer_invalid_total":      d.peers.invalid.Load,
 		"amaranth_entry_call_bytes_out_total":    func() int64 { return d.pool.BytesOut.Load() + d.server.BytesOut.Load() },
--- a/amaranthd/entry/peers.go
+++ b/amaranthd/entry/peers.go
@@ -19,6 +19,7 @@
 	"github.com/amaranthswitch/amaranthswitch/fleet/forward"
 	"github.com/amaranthswitch/amaranthswitch/fleet/gossip"
 	"github.com/amaranthswitch/amaranthswitch/fleet/ident"
+	"github.com/amaranthswitch/amaranthswitch/fleet/membership"
 	"github.com/amaranthswitch/amaranthswitch/fleet/replica"
 )
 
@@ -68,8 +69,11 @@
 	group *gossip.Group
 
 	alive    map[ident.VMID]bool
+	far      []ident.DomainName
+	started  clock.Millis
 	cut      map[ident.DomainName]bool // failure domains none of whose VMs is heard
-	isolated atomic.Bool               // all of them are
+	isolated bool                      // all of them are
+	stranded atomic.Bool
 	pulling  atomic.Bool
 	bytesOut atomic.Int64
 	invalid  atomic.Int64
@@ -88,7 +92,8 @@
 		conn: pc.(*net.UDPConn), pool: pool, engine: engine, keeper: k, clk: clk, log: log, domain: set.Domain,
 		group: gossip.New(now, self, set.Seeds, uint64(set.Peers.Addr().As4()[3])),
 		alive: make(map[ident.VMID]bool),
-		cut:   make(map[ident.DomainName]bool),
+		far:   otherDomains(set), started: now,
+		cut: make(map[ident.DomainName]bool),
 	}
 	server.Handle(methodSince, p.serveSince)
 	return p, func() { _ = p.conn.Close() }, nil
@@ -205,6 +210,7 @@
 	p.engine.SetOthers(sumsOf(others))
 	p.logChanges(ctx, alive)
 	p.watchPaths(ctx, now, heard)
+	p.checkStranded(now)
 	if behind {
 		p.catchUp(ctx)
 	}
@@ -220,22 +226,45 @@
 	return n
 }
 
+// otherDomains returns the failure domains of the fleet but the own one.
+func otherDomains(set *Settings) (far []ident.DomainName) {
+	for _, d := range set.Domains {
+		if d != set.Domain {
+			far = append(far, d)
+		}
+	}
+	return far
+}
+
 // watchPaths notices partitions by the silence of whole failure domains.
 func (p *peers) watchPaths(ctx context.Context, now clock.Millis, heard map[ident.DomainName]clock.Millis) {
-	isolated := len(heard) > 0
-	for domain, at := range heard {
-		isolated = isolated && now-at >= isolatedAfter
-		cut := now-at >= cutAfter
+	p.isolated = len(p.far) > 0
+	for _, domain := range p.far {
+		silence := now - max(p.started, heard[domain])
+		p.isolated = p.isolated && silence >= isolatedAfter
+		cut := silence >= cutAfter
 		if cut == p.cut[domain] {
 			continue
 		}
 		p.cut[domain] = cut
+		p.engine.SetUnheard(domain, cut)
 		if !cut {
 			p.engine.PathBack(now, domain)
 		}
 		event.Log(ctx, p.log, event.DomainHeard, slog.String("domain", string(domain)), slog.Bool("heard", !cut))
 	}
-	p.isolated.Store(isolated)
+}
+
+// checkStranded decides whether this VM leaves the packets to VMs elsewhere:
+// it hears no other failure domain, and no upstream answers it, or so say all
+// its neighbours, which may have seen more.
+func (p *peers) checkStranded(now clock.Millis) {
+	reaches := !p.engine.Stranded(now)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	stranded := p.isolated && (!reaches || p.group.NearStranded(now))
+	p.stranded.Store(stranded)
+	p.group.SetStranded(p.isolated && !reaches)
 }
 
 // logChanges logs which VMs began or ceased to be heard.
@@ -284,14 +313,15 @@
 	p.round(context.Background())
 }
 
-// living returns the VMs heard lately.
-func (p *peers) living() (ids []ident.VMID) {
+// status returns the VMs heard lately.
+func (p *peers) status() []PeerStatus {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	list := []PeerStatus{}
 	for _, peer := range p.group.Alive(p.clk.Now()) {
-		ids = append(ids, peer.ID)
+		list = append(list, PeerStatus{ID: peer.ID, RPC: peer.Address, State: membership.Alive, Reachable: true})
 	}
-	return ids
+	return list
 }
 
 func (p *peers) setSeeds(seeds []netip.AddrPort) {
--- a/amaranthd/entry/settings.go
+++ b/amaranthd/entry/settings.go
@@ -19,6 +19,8 @@
 	VM     ident.VMID       `json:"vm"`
 	Domain ident.DomainName `json:"domain"`
 	Region ident.RegionName `json:"region"`
+	// Domains are all failure domains of the fleet.
+	Domains []ident.DomainName `json:"domains,omitempty"`
 	// Packets receives the packets of the fabric.
 	Packets netip.AddrPort `json:"packets"`
 	// Ready answers the fabric's question whether this VM takes packets.
--- a/fleet/forward/engine.go
+++ b/fleet/forward/engine.go
@@ -192,7 +192,11 @@
 	}
 	route, ok := v.catalog.Route(p.Service)
 	if !ok {
-		return e.refuse(NoRoute)
+		d = e.refuse(NoRoute)
+		if p.Opening {
+			e.seams.Placed(p, &d, nil)
+		}
+		return d
 	}
 	if p.Opening {
 		return e.open(now, v, route, p)
@@ -374,6 +378,15 @@
 	return taking
 }
 
+// SetUnheard sets whether no VM of a failure domain is heard, so that new flows
+// better go elsewhere.
+func (e *Engine) SetUnheard(domain ident.DomainName, unheard bool) {
+	e.mu.Lock()
+	h := e.domainHealth(domain)
+	e.mu.Unlock()
+	h.setUnheard(unheard)
+}
+
 // PathBack forgets what was held against a failure domain and its upstreams
 // while there was no path to it.
 func (e *Engine) PathBack(now clock.Millis, domain ident.DomainName) {
--- a/fleet/forward/health.go
+++ b/fleet/forward/health.go
@@ -47,6 +47,8 @@
 	cond         condition
 	nextTrial    clock.Millis
 	trialBackoff clock.Millis
+	// unheard is set while no VM of a failure domain is heard.
+	unheard bool
 }
 
 // answered records a sign of life and returns what was believed before.
@@ -88,6 +90,20 @@
 	return h.cond, h.cond != before
 }
 
+// setUnheard sets whether no VM of the failure domain is heard.
+func (h *health) setUnheard(unheard bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.unheard = unheard
+}
+
+// avoided reports whether new flows better go elsewhere.
+func (h *health) avoided() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.unheard || h.cond == lost
+}
+
 // condition returns what is believed, and when the last sign of life came.
 func (h *health) condition() (cond condition, proved clock.Millis) {
 	h.mu.Lock()
--- a/fleet/forward/place.go
+++ b/fleet/forward/place.go
@@ -126,7 +126,7 @@
 			if bestCold == nil || cost < bestColdCost {
 				bestCold, bestColdCost = t, cost
 			}
-		case !answers(t):
+		case !answers(t) || t.domain.avoided():
 			if p.Copies == 0 && tryAgain(now, t) {
 				return t
 			}
--- a/fleet/gossip/group.go
+++ b/fleet/gossip/group.go
@@ -39,14 +39,15 @@
 
 // member is what is known of another VM.
 type member struct {
-	peer    Peer
-	started clock.Millis
-	number  uint64
-	heard   clock.Millis // 0 if it never spoke to this VM
-	named   clock.Millis // last time that another VM named it
-	leaving bool
-	copy    Copy
-	loads   []Load
+	peer     Peer
+	started  clock.Millis
+	number   uint64
+	heard    clock.Millis // 0 if it never spoke to this VM
+	named    clock.Millis // last time that another VM named it
+	leaving  bool
+	stranded bool
+	copy     Copy
+	loads    []Load
 }
 
 // Group is one VM's knowledge of the others. It is not safe for concurrent use.
@@ -60,6 +61,8 @@
 	order   []*member // by identifier, so that every run does the same
 	rounds  int
 	leaving bool
+	// stranded is what this VM tells of itself.
+	stranded bool
 }
 
 // New returns the group of a VM that starts at now and knows only its seeds.
@@ -76,6 +79,26 @@
 // SetSeeds replaces the seeds.
 func (g *Group) SetSeeds(seeds []netip.AddrPort) { g.seeds = seeds }
 
+// SetStranded sets whether this VM reaches neither another failure domain nor an
+// upstream, which it tells the others.
+func (g *Group) SetStranded(stranded bool) { g.stranded = stranded }
+
+// NearStranded reports whether all living VMs of the own failure domain, of
+// which there is one at least, say that they are stranded.
+func (g *Group) NearStranded(now clock.Millis) bool {
+	any := false
+	for _, m := range g.order {
+		if m.peer.Domain != g.self.Domain || !m.alive(now) {
+			continue
+		}
+		if !m.stranded {
+			return false
+		}
+		any = true
+	}
+	return any
+}
+
 // Leave tells the others from now on that this VM stops.
 func (g *Group) Leave() { g.leaving = true }
 
@@ -133,7 +156,7 @@
 func (g *Group) message(now clock.Millis, held Copy) Message {
 	g.number++
 	return Message{
-		From: g.self, Started: g.started, Number: g.number, Leaving: g.leaving,
+		From: g.self, Started: g.started, Number: g.number, Leaving: g.leaving, Stranded: g.stranded,
 		Complete: held.Complete, Age: min(maxAge, now-held.ConfirmedAt),
 	}
 }
@@ -229,7 +252,7 @@
 	}
 	first := m.heard == 0
 	m.peer, m.started, m.number = msg.From, msg.Started, msg.Number
-	m.heard, m.leaving = now, msg.Leaving
+	m.heard, m.leaving, m.stranded = now, msg.Leaving, msg.Stranded
 	m.copy = Copy{Complete: msg.Complete, ConfirmedAt: now - max(0, msg.Age)}
 	if msg.Loads != nil {
 		m.loads = msg.Loads
--- a/fleet/gossip/group_test.go
+++ b/fleet/gossip/group_test.go
@@ -182,6 +182,25 @@
 	assert.Equal(t, len(g.Others(1000+loadLife+1)), 0)
 }
 
+// TestNewcomerHearsThatAllAreStranded starts a VM where all others reach
+// nothing.
+func TestNewcomerHearsThatAllAreStranded(t *testing.T) {
+	f := newFleet(4, 1, 0)
+	newcomer := f.groups[address(3)]
+	delete(f.groups, address(3))
+	f.rounds(4)
+	assert.Assert(t, !newcomer.NearStranded(f.now), "nobody was heard")
+	for _, g := range f.groups {
+		g.SetStranded(true)
+	}
+	f.groups[address(3)] = newcomer
+	f.rounds(8)
+	assert.Assert(t, newcomer.NearStranded(f.now))
+	f.groups[address(1)].SetStranded(false)
+	f.rounds(8)
+	assert.Assert(t, !newcomer.NearStranded(f.now))
+}
+
 func TestLeaving(t *testing.T) {
 	f := newFleet(3, 1, 0)
 	f.rounds(5)
--- a/fleet/gossip/message.go
+++ b/fleet/gossip/message.go
@@ -38,6 +38,9 @@
 	Number  uint64
 	// Leaving is set while the VM stops.
 	Leaving bool
+	// Stranded is set while the VM reaches neither another failure domain nor
+	// an upstream.
+	Stranded bool
 	// Complete is the revision up to which the sender holds every change.
 	Complete replica.Revision
 	// Age is how long ago the publisher confirmed that, at most maxAge.
