--- a/amaranthd/capacity/report.go
+++ b/amaranthd/capacity/report.go
@@ -60,6 +60,7 @@
 	rows = append(rows, Sums()...)
 	rows = append(rows, Claims()...)
 	rows = append(rows, Slots()...)
+	rows = append(rows, Entry()...)
 	if asJSON {
 		enc := json.NewEncoder(w)
 		enc.SetIndent("", "  ")
--- a/amaranthd/entry/decisions.go
+++ b/amaranthd/entry/decisions.go
@@ -23,7 +23,7 @@
 			}
 			event.Log(ctx, log, event.UpstreamHealth, append(attrs, slog.String("upstream", string(u.ID)))...)
 		},
-		Placed: func(p *forward.Packet, d *forward.Decision, u *catalog.Entry) {
+		Placed: func(p *forward.Packet, d forward.Decision, u *catalog.Entry) {
 			if d.Action == forward.Refuse {
 				event.Log(ctx, log, event.FlowRefused, append(flowOf(p), slog.String("reason", d.Reason.String()))...)
 				return
--- a/amaranthd/entry/peers.go
+++ b/amaranthd/entry/peers.go
@@ -203,10 +203,14 @@
 	others := p.group.Others(now)
 	heard := p.group.Heard()
 	_, behind := p.group.Ahead(now, held.Complete)
+	near := 1
+	if p.group.TellsLoads(now) {
+		near += inDomain(alive, p.domain)
+	}
 	p.mu.Unlock()
 	p.send(out)
 	p.keeper.setRank(rank)
-	p.engine.SetVMs(vms, 1+inDomain(alive, p.domain))
+	p.engine.SetVMs(vms, near)
 	p.engine.SetOthers(sumsOf(others))
 	p.logChanges(ctx, alive)
 	p.watchPaths(ctx, now, heard)
--- a/fleet/forward/engine.go
+++ b/fleet/forward/engine.go
@@ -37,7 +37,7 @@
 	// its failure domain, answers changes.
 	Health func(u *catalog.Entry, wholeDomain bool, from, to string)
 	// Placed is told of each opening packet with what was decided.
-	Placed func(p *Packet, d *Decision, u *catalog.Entry)
+	Placed func(p *Packet, d Decision, u *catalog.Entry)
 	// Lost is told of each flow that is reset since its upstream is lost.
 	Lost func(p *Packet, u *catalog.Entry)
 	// Opened is told how long an upstream took to answer an opening packet, and
@@ -93,7 +93,7 @@
 		domains: make(map[ident.DomainName]*health),
 		seams: Seams{
 			Health: func(*catalog.Entry, bool, string, string) {},
-			Placed: func(*Packet, *Decision, *catalog.Entry) {},
+			Placed: func(*Packet, Decision, *catalog.Entry) {},
 			Lost:   func(*Packet, *catalog.Entry) {},
 			Opened: func(clock.Millis) {}, Answered: func(clock.Millis) {},
 		},
@@ -150,7 +150,7 @@
 }
 
 // SetVMs sets the VMs that share the load of cold upstreams, self included, and
-// the number of those in the own failure domain that live.
+// the number of those that place flows as this one does and tell their loads.
 func (e *Engine) SetVMs(vms []ident.VMID, near int) {
 	e.vms.Store(&vms)
 	e.near.Store(int32(near))
@@ -194,7 +194,7 @@
 	if !ok {
 		d = e.refuse(NoRoute)
 		if p.Opening {
-			e.seams.Placed(p, &d, nil)
+			e.seams.Placed(p, d, nil)
 		}
 		return d
 	}
@@ -236,8 +236,7 @@
 // A flow of its own upstream that was not found lost may only have come upon
 // other ones that are.
 func isLost(now clock.Millis, f *flow) bool {
-	cond, _ := f.target.load.health.condition()
-	whole, _ := f.target.domain.condition()
+	cond, whole := f.target.load.health.condition(), f.target.domain.condition()
 	return cond == lost || whole == lost && f.stallAt == now
 }
 
@@ -253,18 +252,15 @@
 	f.count()
 	switch {
 	case f.linked && int32(p.Ack-f.ack) > 0:
-		e.proved(now, f)
+		e.proved(f)
 		if f.answered() {
 			e.seams.Answered(now - f.sentAt)
 		}
 	case !f.linked && f.opened:
-		e.proved(now, f)
+		e.proved(f)
 		e.seams.Opened(now - f.sentAt)
 	}
-	if !f.linked {
-		f.linked = true
-		f.sentAt = now
-	}
+	f.linked = true
 	f.ack = p.Ack
 	if p.Bytes == 0 {
 		return
@@ -275,7 +271,8 @@
 		return
 	}
 	f.seq = end
-	if f.busyAt == 0 {
+	if !f.asked {
+		f.asked = true
 		f.sentAt = now
 		if f.answers == 1 {
 			f.route.repeated()
@@ -284,14 +281,19 @@
 	f.begin(now)
 }
 
-// proved takes note of a sign that the flow's upstream answers: the caller
-// completed the opening, or acknowledged more.
-func (e *Engine) proved(now clock.Millis, f *flow) {
-	if before := f.target.load.health.answered(now); before != answering {
-		e.seams.Health(f.target.entry, false, before.String(), answering.String())
-	}
-	if before := f.target.domain.answered(now); before != answering {
-		e.seams.Health(f.target.entry, true, before.String(), answering.String())
+// proved takes note of a sign that the flow's upstream has what the flow sent
+// last: the caller completed the opening, or acknowledged more.
+func (e *Engine) proved(f *flow) {
+	before, after := f.target.load.health.answered(f.sentAt)
+	e.report(f, false, before, after)
+	before, after = f.target.domain.answered(f.sentAt)
+	e.report(f, true, before, after)
+}
+
+// report tells of a change of what is believed.
+func (e *Engine) report(f *flow, wholeDomain bool, before, after condition) {
+	if before != after {
+		e.seams.Health(f.target.entry, wholeDomain, before.String(), after.String())
 	}
 }
 
@@ -301,18 +303,15 @@
 	if now-f.sentAt < repeatAfter {
 		return // out of order, or queued with the first one
 	}
-	cond, changed := f.target.load.health.stall(now, f.stallAt, f.target.load, 1)
-	if changed {
-		e.seams.Health(f.target.entry, false, "", cond.String())
-		if cond == lost {
-			e.giveUp(f.target.load)
-		}
-	}
-	whole, changed := f.target.domain.stall(now, f.stallAt, f.target.load, 2)
-	if changed {
-		e.seams.Health(f.target.entry, true, "", whole.String())
+	counted := f.stalledSent == f.sentAt
+	f.stallAt, f.stalledSent = now, f.sentAt
+	before, after := f.target.load.health.stall(now, f.sentAt, counted, f.target.load, 1)
+	e.report(f, false, before, after)
+	if before != lost && after == lost {
+		e.giveUp(f.target.load)
 	}
-	f.stallAt = now
+	before, after = f.target.domain.stall(now, f.sentAt, counted, f.target.load, 2)
+	e.report(f, true, before, after)
 }
 
 // repeatAfter is the least time after which a caller sends something again.
@@ -325,17 +324,15 @@
 }
 
 // GivenUp returns the packets to be answered with a reset: those of the flows
-// that wait for an upstream just found lost, with what they sent after its last
-// sign of life. What was sent before may still be answered.
+// that were seen to wait in vain for an upstream just found lost.
 func (e *Engine) GivenUp() (packets []Packet) {
 	e.mu.Lock()
 	given := e.given
 	e.given = nil
 	e.mu.Unlock()
 	for _, l := range given {
-		_, proved := l.health.condition()
 		for i := range e.flows.shards {
-			packets = e.flows.shards[i].giveUp(l, proved, packets)
+			packets = e.flows.shards[i].giveUp(l, packets)
 		}
 	}
 	e.Refused[UpstreamLost].Add(int64(len(packets)))
--- a/fleet/forward/engine_test.go
+++ b/fleet/forward/engine_test.go
@@ -182,6 +182,39 @@
 	}
 }
 
+// TestOldAnswersProveNothing cuts the way to an upstream while its answers to
+// earlier requests still arrive, as in a partition that callers bridge.
+func TestOldAnswersProveNothing(t *testing.T) {
+	e := New("vm", "a")
+	var seen []string
+	e.seams.Health = func(_ *catalog.Entry, whole bool, _, to string) {
+		if !whole {
+			seen = append(seen, to)
+		}
+	}
+	e.SetCatalog(published(1, 0, upstream(1, "web", "a")))
+	token := e.view.Load().catalog.Serving("web")[0].Token
+	send := func(now clock.Millis, i, ack, bytes int) {
+		e.Handle(now, &Packet{
+			Caller: opening(i, webAddress).Caller, Service: webAddress, Token: token,
+			Seq: uint32(i) + 1, Ack: uint32(ack), Bytes: bytes,
+		})
+	}
+	for i := range 5 {
+		e.Handle(1000, opening(i, webAddress))
+		send(1005, i, 1, 0)
+	}
+	send(1100, 4, 1, 100) // arrived before the cut
+	for i := range 3 {
+		send(1200, i, 1, 100)
+	}
+	for i := range 3 {
+		send(1400, i, 1, 100)
+		send(1401, 4, 100+100*i, 0) // the answer goes on arriving
+	}
+	assert.DeepEqual(t, seen, []string{"silent", "lost"})
+}
+
 // TestSharesStayWithinRate lets VMs with any partial knowledge of each other
 // place flows on a cold upstream. As long as each counts all that place, the
 // sum stays within what the upstream bears.
--- a/fleet/forward/flows.go
+++ b/fleet/forward/flows.go
@@ -53,13 +53,16 @@
 	seen    clock.Millis
 	sentAt  clock.Millis // first sending of what waits for an answer
 	busyAt  clock.Millis // last packet of the request under way, 0 for none
-	stallAt clock.Millis // time at which the flow was counted as stalled
-	steady  int32        // part in the steady load of the upstream
-	answers uint16       // requests that were answered
-	opened  bool         // the opening packet passed this VM
-	linked  bool         // a packet after the opening one passed
-	counted bool         // the flow counts as open
-	closed  bool
+	stallAt clock.Millis // last time at which the flow sent something again
+	// stalledSent is the sentAt for which the flow was counted as stalled.
+	stalledSent clock.Millis
+	steady      int32  // part in the steady load of the upstream
+	answers     uint16 // requests that were answered
+	opened      bool   // the opening packet passed this VM
+	linked      bool   // a packet after the opening one passed
+	asked       bool   // a request was sent and not answered yet
+	counted     bool   // the flow counts as open
+	closed      bool
 }
 
 // shard holds a part of the flows.
@@ -125,6 +128,7 @@
 // answered ends the request under way with an answer. It reports whether one
 // was under way.
 func (f *flow) answered() bool {
+	f.asked = false
 	if f.busyAt == 0 {
 		return false
 	}
@@ -180,13 +184,13 @@
 	return len(s.flows)
 }
 
-// giveUp ends the flows to l that wait for an answer to what they sent after
-// the given time or at it, and appends a packet of each.
-func (s *shard) giveUp(l *upstreamLoad, after clock.Millis, packets []Packet) []Packet {
+// giveUp ends the flows to l that were seen to wait in vain, and appends a
+// packet of each. The others may have been heard, or will send again.
+func (s *shard) giveUp(l *upstreamLoad, packets []Packet) []Packet {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for k, f := range s.flows {
-		if f.target.load != l || f.closed || f.busyAt == 0 || f.sentAt < after {
+		if f.target.load != l || f.closed || f.busyAt == 0 || f.stalledSent != f.sentAt {
 			continue
 		}
 		packets = append(packets, Packet{
--- a/fleet/forward/health.go
+++ b/fleet/forward/health.go
@@ -40,8 +40,9 @@
 // sign of life (outlier ejection by passive checks).
 type health struct {
 	mu           sync.Mutex
-	proved       clock.Millis // last sign of life
-	stalled      int          // flows that wait in vain since then
+	proved       clock.Millis // when the newest thing was sent that arrived
+	stalled      int          // flows that wait in vain for what they sent later
+	stalledSent  clock.Millis // when the newest of that was sent
 	source       any          // whom the first of them waits for
 	several      bool         // others wait for someone else
 	cond         condition
@@ -51,33 +52,41 @@
 	unheard bool
 }
 
-// answered records a sign of life and returns what was believed before.
-func (h *health) answered(now clock.Millis) (before condition) {
+// answered records that something sent at the given time arrived, and returns
+// what was believed before. An answer to what was sent before others began to
+// wait proves nothing for them.
+func (h *health) answered(sentAt clock.Millis) (before, after condition) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	before = h.cond
-	h.proved, h.stalled, h.source, h.several = now, 0, nil, false
-	h.cond, h.trialBackoff = answering, 0
-	return before
+	h.proved = max(h.proved, sentAt)
+	if sentAt >= h.stalledSent {
+		h.stalled, h.source, h.several = 0, nil, false
+		h.cond, h.trialBackoff = answering, 0
+	}
+	return before, h.cond
 }
 
-// stall records that one more flow waits in vain for source, and returns the
-// new condition if it changed. A flow counts once between two signs of life,
-// and countedAt is when it was counted last. least is how many sources must be
-// waited for.
-func (h *health) stall(now, countedAt clock.Millis, source any, least int) (cond condition, changed bool) {
+// stall records that a flow waits in vain for source to answer what it sent at
+// the given time, and returns what was believed before and after. counted tells
+// that this was recorded before. least is how many sources must be waited for.
+func (h *health) stall(now, sentAt clock.Millis, counted bool, source any, least int) (before, after condition) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if countedAt == 0 || countedAt < h.proved {
+	if sentAt <= h.proved {
+		return h.cond, h.cond // Others were answered since: this was lost on its way.
+	}
+	if !counted {
 		h.stalled++
 	}
+	h.stalledSent = max(h.stalledSent, sentAt)
 	if h.source == nil {
 		h.source = source
 	}
 	h.several = h.several || h.source != source
-	before := h.cond
+	before = h.cond
 	if least > 1 && !h.several {
-		return h.cond, false
+		return before, before
 	}
 	if h.stalled >= silentFlows && h.cond == answering {
 		h.cond = silent
@@ -87,7 +96,7 @@
 	if h.stalled >= lostFlows && now-h.proved >= lostAfter {
 		h.cond = lost
 	}
-	return h.cond, h.cond != before
+	return before, h.cond
 }
 
 // setUnheard sets whether no VM of the failure domain is heard.
@@ -104,11 +113,11 @@
 	return h.unheard || h.cond == lost
 }
 
-// condition returns what is believed, and when the last sign of life came.
-func (h *health) condition() (cond condition, proved clock.Millis) {
+// condition returns what is believed.
+func (h *health) condition() condition {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.cond, h.proved
+	return h.cond
 }
 
 // trial reports whether something silent may be tried with one flow, and
--- a/fleet/forward/place.go
+++ b/fleet/forward/place.go
@@ -63,7 +63,7 @@
 	}
 	if t == nil {
 		d = e.refuse(NoUpstream)
-		e.seams.Placed(p, &d, nil)
+		e.seams.Placed(p, d, nil)
 		return d
 	}
 	f.end()
@@ -95,14 +95,12 @@
 
 // answers reports whether t is believed to answer from here.
 func answers(t *target) bool {
-	cond, _ := t.load.health.condition()
-	whole, _ := t.domain.condition()
-	return cond == answering && whole != lost
+	return t.load.health.condition() == answering && t.domain.condition() != lost
 }
 
 func (e *Engine) placed(p *Packet, t *target) Decision {
 	d := e.forward(t, t.entry.Token)
-	e.seams.Placed(p, &d, t.entry)
+	e.seams.Placed(p, d, t.entry)
 	return d
 }
 
@@ -149,7 +147,7 @@
 // tryAgain reports whether a flow may go to t to see whether it answers again.
 // While its whole failure domain does not answer, one upstream stands for all.
 func tryAgain(now clock.Millis, t *target) bool {
-	if whole, _ := t.domain.condition(); whole != answering {
+	if t.domain.condition() != answering {
 		return t.domain.trial(now)
 	}
 	return t.load.health.trial(now)
--- a/fleet/gossip/group.go
+++ b/fleet/gossip/group.go
@@ -31,6 +31,10 @@
 	// forgetAfter is how long a silent VM counts as a member. Until then it
 	// may run behind a partition and use its share of cold upstreams.
 	forgetAfter = 60 * clock.Second
+	// loadsUpTo is the largest number of living VMs that tell each other their
+	// loads. Among more, a VM would hear too few of them for a sum; there, what
+	// each spreads evenly by itself adds up evenly.
+	loadsUpTo = 16
 	// loadLife is how long a reported load is believed.
 	loadLife clock.Millis = 1500
 	// maxAge bounds the age that messages tell.
@@ -86,7 +90,7 @@
 // NearStranded reports whether all living VMs of the own failure domain, of
 // which there is one at least, say that they are stranded.
 func (g *Group) NearStranded(now clock.Millis) bool {
-	any := false
+	heard := false
 	for _, m := range g.order {
 		if m.peer.Domain != g.self.Domain || !m.alive(now) {
 			continue
@@ -94,9 +98,9 @@
 		if !m.stranded {
 			return false
 		}
-		any = true
+		heard = true
 	}
-	return any
+	return heard
 }
 
 // Leave tells the others from now on that this VM stops.
@@ -112,6 +116,9 @@
 	if greet {
 		known = g.sample(now, knownEach)
 	}
+	if !g.TellsLoads(now) {
+		loads = nil
+	}
 	alive, silent := g.targets(now, rank == 0)
 	for _, to := range alive {
 		msg := g.message(now, held)
@@ -360,6 +367,18 @@
 	return at
 }
 
+// TellsLoads reports whether the VMs are few enough to tell each other their
+// loads.
+func (g *Group) TellsLoads(now clock.Millis) bool {
+	alive := 1
+	for _, m := range g.order {
+		if m.alive(now) {
+			alive++
+		}
+	}
+	return alive <= loadsUpTo
+}
+
 // Others returns the load that the other VMs reported lately.
 func (g *Group) Others(now clock.Millis) map[catalog.Token]Load {
 	sums := make(map[catalog.Token]Load)
