Bound the building of catalogs, count what was sent in the same millisecond

Cause: taking a change costs 7.5 ms at 3,300 upstreams, so twenty changes a second would take 15 % of a core.

Change: a pause of 50 times the building follows each catalog; changes in between come together. Equal times count as waiting, and only an answer to something later ends that. Tests of the keeper with a fake source.

--- a/amaranthd/capacity/entry.go
+++ b/amaranthd/capacity/entry.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"time"
+	"unsafe"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -116,7 +117,7 @@
 
 // packetBytes is the size of a forward.Packet in memory, which the measurement
 // of flows leaves out.
-const packetBytes = 96
+const packetBytes = unsafe.Sizeof(forward.Packet{})
 
 func entryCatalogs() []Row {
 	build := Row{Role: entryRole, Quantity: "taking a change", Unit: "ms", Of: "upstreams"}
--- a/amaranthd/entry/keeper.go
+++ b/amaranthd/entry/keeper.go
@@ -43,6 +43,9 @@
 	// awayAfter is the age of the copy at which the source counts as having
 	// been away. It exceeds the age that a copy reaches without that.
 	awayAfter clock.Millis = 2500
+	// buildPause is the least pause after building a catalog, in multiples of
+	// the time that this took: changes in quick succession take 2 % of a core.
+	buildPause = 50
 	// ageCheck is the period at which the age is looked at.
 	ageCheck clock.Millis = 50
 )
@@ -62,6 +65,10 @@
 	mu      sync.Mutex
 	replica *replica.Replica
 	builder *catalog.Builder
+	// builtAt and buildTook tell of the last catalog, buildDue that one is due.
+	builtAt   time.Time
+	buildTook time.Duration
+	buildDue  bool
 
 	readAt    clock.Millis  // when everything is to be read again
 	kick      chan struct{} // asks for a read at once
@@ -125,9 +132,7 @@
 	k.builder.Take(now, changed, away)
 	complete := k.replica.Complete()
 	if len(changed) > 0 || before == 0 {
-		if c := k.builder.Build(complete); c != nil {
-			k.publish(c)
-		}
+		k.rebuild()
 	}
 	k.mu.Unlock()
 	for i := range changed {
@@ -140,6 +145,38 @@
 	}
 }
 
+// rebuild publishes a new catalog, at once unless the last one was built so
+// short a time ago that building would take more than its share. The caller
+// holds mu.
+func (k *keeper) rebuild() {
+	wait := buildPause*k.buildTook - time.Since(k.builtAt)
+	if wait <= 0 {
+		k.build()
+		return
+	}
+	if !k.buildDue {
+		k.buildDue = true
+		time.AfterFunc(wait, func() {
+			k.mu.Lock()
+			defer k.mu.Unlock()
+			k.build()
+		})
+	}
+}
+
+// build publishes a new catalog. The caller holds mu.
+func (k *keeper) build() {
+	k.buildDue = false
+	begun := time.Now()
+	c := k.builder.Build(k.replica.Complete())
+	if c == nil {
+		return
+	}
+	k.publish(c)
+	k.builtAt = time.Now()
+	k.buildTook = k.builtAt.Sub(begun)
+}
+
 // forget drops what was removed long ago.
 func (k *keeper) forget() {
 	now := k.clk.Now()
--- /dev/null
+++ b/amaranthd/entry/keeper_test.go
@@ -0,0 +1,189 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/amaranthswitch/amaranthswitch/fleet/catalog"
+	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
+	"github.com/amaranthswitch/amaranthswitch/fleet/replica"
+)
+
+// fakeSource answers with what a test sets.
+type fakeSource struct {
+	mu      sync.Mutex
+	reads   int
+	watches int
+	read    func() (replica.Update, error)
+	watch   func(ctx context.Context, after replica.Revision) (replica.Update, error)
+}
+
+func (f *fakeSource) source() Source {
+	return Source{
+		Read: func(context.Context) (replica.Update, error) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.reads++
+			return f.read()
+		},
+		Watch: func(ctx context.Context, after replica.Revision, _ clock.Millis) (replica.Update, error) {
+			f.mu.Lock()
+			f.watches++
+			watch := f.watch
+			f.mu.Unlock()
+			return watch(ctx, after)
+		},
+		Renew: func() {},
+	}
+}
+
+func (f *fakeSource) counts() (reads, watches int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reads, f.watches
+}
+
+// newTestKeeper returns a keeper whose items are configurations by version.
+func newTestKeeper(f *fakeSource, published func(*catalog.Catalog)) *keeper {
+	a := &Adapter{Source: f.source(), Decode: func(item replica.Item) (c catalog.Change, err error) {
+		c.Config = &catalog.Config{}
+		_, err = fmt.Sscan(string(item.Value), &c.Config.Version)
+		return c, err
+	}}
+	return newKeeper(a, clock.System(), slog.New(slog.DiscardHandler), 500, published)
+}
+
+func version(rev replica.Revision) replica.Item {
+	return replica.Item{Key: "config", Value: fmt.Append(nil, rev), Revision: rev, Created: 1}
+}
+
+func full(rev replica.Revision) (replica.Update, error) {
+	return replica.Update{Full: true, Complete: rev, Items: []replica.Item{version(rev)}}, nil
+}
+
+// run runs the keeper until the test ends.
+func run(t *testing.T, k *keeper) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- k.run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-ended)
+	})
+}
+
+// TestForgottenChangesAreReadAgain loses the history at the source.
+func TestForgottenChangesAreReadAgain(t *testing.T) {
+	f := &fakeSource{}
+	rev := replica.Revision(3)
+	f.read = func() (replica.Update, error) { return full(rev) }
+	f.watch = func(ctx context.Context, after replica.Revision) (replica.Update, error) {
+		if after < 9 {
+			f.mu.Lock()
+			rev = 9
+			f.mu.Unlock()
+			return replica.Update{}, ErrForgotten
+		}
+		<-ctx.Done()
+		return replica.Update{}, ctx.Err()
+	}
+	k := newTestKeeper(f, func(*catalog.Catalog) {})
+	run(t, k)
+	eventually(t, func() bool { return k.held().Complete == 9 })
+}
+
+// TestFollowerLeavesTheSourceAlone confirms the copy as a reader's messages do.
+func TestFollowerLeavesTheSourceAlone(t *testing.T) {
+	f := &fakeSource{read: func() (replica.Update, error) { return full(3) }}
+	f.watch = func(context.Context, replica.Revision) (replica.Update, error) {
+		return replica.Update{After: 3, Complete: 3}, nil
+	}
+	k := newTestKeeper(f, func(*catalog.Catalog) {})
+	k.setRank(3)
+	run(t, k)
+	eventually(t, func() bool { return k.held().Complete == 3 })
+	for range 20 {
+		k.confirm(k.clk.Now())
+		time.Sleep(100 * time.Millisecond)
+	}
+	reads, watches := f.counts()
+	assert.Equal(t, reads, 1)
+	assert.Equal(t, watches, 0)
+	// The reader falls silent: the copy is checked within the bound.
+	time.Sleep((oldAtMost + 200).Duration())
+	_, watches = f.counts()
+	assert.Assert(t, watches >= 1)
+	assert.Assert(t, k.clk.Now()-k.held().ConfirmedAt < 1000)
+}
+
+// TestFailuresBackOff counts the calls to a source that refuses all.
+func TestFailuresBackOff(t *testing.T) {
+	f := &fakeSource{read: func() (replica.Update, error) { return replica.Update{}, errors.New("busy") }}
+	k := newTestKeeper(f, func(*catalog.Catalog) {})
+	run(t, k)
+	time.Sleep(2 * time.Second)
+	reads, _ := f.counts()
+	assert.Assert(t, reads >= 3 && reads <= 6, "%d calls in 2 s", reads)
+}
+
+// TestKickInterruptsAWatch asks for a read while a watch waits.
+func TestKickInterruptsAWatch(t *testing.T) {
+	rev := replica.Revision(3)
+	f := &fakeSource{}
+	f.read = func() (replica.Update, error) { return full(rev) }
+	f.watch = func(ctx context.Context, _ replica.Revision) (replica.Update, error) {
+		<-ctx.Done()
+		return replica.Update{}, ctx.Err()
+	}
+	k := newTestKeeper(f, func(*catalog.Catalog) {})
+	run(t, k)
+	eventually(t, func() bool { _, w := f.counts(); return w == 1 })
+	f.mu.Lock()
+	rev = 8
+	f.mu.Unlock()
+	begun := time.Now()
+	k.reread()
+	eventually(t, func() bool { return k.held().Complete == 8 })
+	assert.Assert(t, time.Since(begun) < 300*time.Millisecond)
+}
+
+// TestBuildingTakesItsShare hands over changes faster than catalogs may be
+// built. The last one is in force in the end, and few were built between.
+func TestBuildingTakesItsShare(t *testing.T) {
+	var mu sync.Mutex
+	built, last := 0, catalog.Catalog{}
+	k := newTestKeeper(&fakeSource{}, func(c *catalog.Catalog) {
+		mu.Lock()
+		defer mu.Unlock()
+		built++
+		last = *c
+		time.Sleep(time.Millisecond) // as if there were thousands of upstreams
+	})
+	const changes = 200
+	for i := range replica.Revision(changes) {
+		k.apply(replica.Update{After: i, Complete: i + 1, Items: []replica.Item{version(i + 1)}}, "test")
+		time.Sleep(time.Millisecond)
+	}
+	eventually(t, func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return last.Config.Version == changes
+	})
+	assert.Assert(t, built <= 20, "%d built", built)
+}
+
+func eventually(t *testing.T, holds func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(3 * time.Second); !holds(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("does not hold")
+		}
+	}
+}
--- a/fleet/forward/engine_test.go
+++ b/fleet/forward/engine_test.go
@@ -215,6 +215,26 @@
 	assert.DeepEqual(t, seen, []string{"silent", "lost"})
 }
 
+// TestSameMillisecond lets an upstream die in the millisecond in which it
+// answered an opening: what was sent then may not have arrived.
+func TestSameMillisecond(t *testing.T) {
+	e := New("vm", "a")
+	e.SetCatalog(published(1, 0, upstream(1, "web", "a")))
+	token := e.view.Load().catalog.Serving("web")[0].Token
+	for i := range 3 {
+		e.Handle(1000, opening(i, webAddress))
+		e.Handle(1000, &Packet{Caller: opening(i, webAddress).Caller, Service: webAddress, Token: token, Seq: uint32(i) + 1, Ack: 1, Bytes: 100})
+	}
+	lost := 0
+	for i := range 3 {
+		d := e.Handle(1300, &Packet{Caller: opening(i, webAddress).Caller, Service: webAddress, Token: token, Seq: uint32(i) + 1, Ack: 1, Bytes: 100})
+		if d.Reason == UpstreamLost {
+			lost++
+		}
+	}
+	assert.Equal(t, lost+len(e.GivenUp()), 3)
+}
+
 // TestSharesStayWithinRate lets VMs with any partial knowledge of each other
 // place flows on a cold upstream. As long as each counts all that place, the
 // sum stays within what the upstream bears.
--- a/fleet/forward/health.go
+++ b/fleet/forward/health.go
@@ -60,7 +60,7 @@
 	defer h.mu.Unlock()
 	before = h.cond
 	h.proved = max(h.proved, sentAt)
-	if sentAt >= h.stalledSent {
+	if sentAt > h.stalledSent {
 		h.stalled, h.source, h.several = 0, nil, false
 		h.cond, h.trialBackoff = answering, 0
 	}
@@ -73,7 +73,7 @@
 func (h *health) stall(now, sentAt clock.Millis, counted bool, source any, least int) (before, after condition) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if sentAt <= h.proved {
+	if sentAt < h.proved {
 		return h.cond, h.cond // Others were answered since: this was lost on its way.
 	}
 	if !counted {
