Tell newcomers what is gone, reset flows of upstreams that left

Cause: a VM that starts reads what is published and drops packets to upstreams that are not; callers waited for their deadline.

Change: a newcomer asks one VM for everything once, tombstones included. A flow that waits half a second for an upstream that is no longer published, while it answers nobody else, is reset.

Tests TestNewcomerLearnsWhatIsGone, TestGoneUpstream.

--- a/amaranthd/entry/peers.go
+++ b/amaranthd/entry/peers.go
@@ -67,6 +67,9 @@
 
 	mu    sync.Mutex
 	group *gossip.Group
+	// knowsGone is set once another VM was asked for what the source no longer
+	// tells: upstreams that are gone, to which open flows may lead.
+	knowsGone bool
 
 	alive    map[ident.VMID]bool
 	far      []ident.DomainName
@@ -133,10 +136,15 @@
 	held := p.keeper.held()
 	p.mu.Lock()
 	out := p.group.Receive(p.clk.Now(), &msg, held)
+	askAll := !p.knowsGone && held.Complete != 0
+	p.knowsGone = p.knowsGone || askAll
 	confirmed := p.group.ConfirmedAt(held.Complete)
 	p.mu.Unlock()
 	p.send(out)
 	p.keeper.confirm(confirmed)
+	if askAll {
+		go p.pullFrom(ctx, msg.From, 0)
+	}
 	if msg.News != nil && msg.News.After <= held.Complete && msg.News.Complete > held.Complete {
 		p.keeper.apply(*msg.News, string(msg.From.ID))
 		return
@@ -167,8 +175,13 @@
 	if !ok {
 		return
 	}
+	p.pullFrom(ctx, from, complete)
+}
+
+// pullFrom fetches what a VM knows to have changed after a revision.
+func (p *peers) pullFrom(ctx context.Context, from gossip.Peer, after replica.Revision) {
 	var reply sinceReply
-	err := p.pool.Call(ctx, from.Address, methodSince, sinceRequest{After: complete}, &reply)
+	err := p.pool.Call(ctx, from.Address, methodSince, sinceRequest{After: after}, &reply)
 	if err != nil {
 		event.Log(ctx, p.log, event.ChannelSilent, slog.String("peer", string(from.ID)), slog.String("error", err.Error()))
 		return
--- a/fleet/forward/engine.go
+++ b/fleet/forward/engine.go
@@ -232,12 +232,15 @@
 }
 
 // isLost reports whether a flow that sends data is given up: nothing answers
-// on its upstream, or nothing in the whole failure domain, nor the flow itself.
-// A flow of its own upstream that was not found lost may only have come upon
-// other ones that are.
+// on its upstream, or the flow itself sends again and nothing answers in the
+// whole failure domain, or the upstream is no longer published. A flow of an
+// upstream that was not found lost may only have come upon others that are.
 func isLost(now clock.Millis, f *flow) bool {
-	cond, whole := f.target.load.health.condition(), f.target.domain.condition()
-	return cond == lost || whole == lost && f.stallAt == now
+	if f.target.load.health.condition() == lost {
+		return true
+	}
+	gone := f.target.entry.Removed && now >= f.target.entry.LapsedUntil && now-f.sentAt >= goneAfter
+	return f.stallAt == now && (gone || f.target.domain.condition() == lost)
 }
 
 // learn updates the flow and its upstream's load and health from a packet.
@@ -303,6 +306,9 @@
 	if now-f.sentAt < repeatAfter {
 		return // out of order, or queued with the first one
 	}
+	if f.target.load.health.answeredSince(f.sentAt) {
+		return // others were answered since: this was lost on its way
+	}
 	counted := f.stalledSent == f.sentAt
 	f.stallAt, f.stalledSent = now, f.sentAt
 	before, after := f.target.load.health.stall(now, f.sentAt, counted, f.target.load, 1)
@@ -314,8 +320,13 @@
 	e.report(f, true, before, after)
 }
 
-// repeatAfter is the least time after which a caller sends something again.
-const repeatAfter clock.Millis = 150
+const (
+	// repeatAfter is the least time after which a caller sends something again.
+	repeatAfter clock.Millis = 150
+	// goneAfter is how long a flow must wait for an upstream that is no longer
+	// published: two packets in a row are seldom lost.
+	goneAfter clock.Millis = 500
+)
 
 func (e *Engine) giveUp(l *upstreamLoad) {
 	e.mu.Lock()
--- a/fleet/forward/engine_test.go
+++ b/fleet/forward/engine_test.go
@@ -215,6 +215,37 @@
 	assert.DeepEqual(t, seen, []string{"silent", "lost"})
 }
 
+// TestGoneUpstream sends again and again to an upstream that is no longer
+// published. It may be about to leave and still answer others; only if it does
+// not is the flow given up.
+func TestGoneUpstream(t *testing.T) {
+	for _, answersOthers := range []bool{false, true} {
+		e := New("vm", "a")
+		gone := upstream(1, "web", "a")
+		c := published(1, 0, gone)
+		c.Serving("web")[0].Removed = true
+		e.SetCatalog(c)
+		token := c.Serving("web")[0].Token
+		send := func(now clock.Millis, i, ack int) Action {
+			return e.Handle(now, &Packet{
+				Caller: opening(i, webAddress).Caller, Service: webAddress, Token: token,
+				Seq: uint32(i) + 1, Ack: uint32(ack), Bytes: 100,
+			}).Action
+		}
+		assert.Equal(t, send(1000, 1, 1), Forward)
+		send(1050, 2, 1)
+		if answersOthers {
+			e.Handle(1100, &Packet{Caller: opening(2, webAddress).Caller, Service: webAddress, Token: token, Seq: 103, Ack: 900})
+		}
+		assert.Equal(t, send(1200, 1, 1), Forward, "one packet may be lost")
+		want := Refuse
+		if answersOthers {
+			want = Forward
+		}
+		assert.Equal(t, send(1600, 1, 1), want)
+	}
+}
+
 // TestSameMillisecond lets an upstream die in the millisecond in which it
 // answered an opening: what was sent then may not have arrived.
 func TestSameMillisecond(t *testing.T) {
--- a/fleet/forward/health.go
+++ b/fleet/forward/health.go
@@ -74,7 +74,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if sentAt < h.proved {
-		return h.cond, h.cond // Others were answered since: this was lost on its way.
+		return h.cond, h.cond
 	}
 	if !counted {
 		h.stalled++
@@ -99,6 +99,14 @@
 	return before, h.cond
 }
 
+// answeredSince reports whether something sent later than the given time
+// arrived.
+func (h *health) answeredSince(sentAt clock.Millis) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return sentAt < h.proved
+}
+
 // setUnheard sets whether no VM of the failure domain is heard.
 func (h *health) setUnheard(unheard bool) {
 	h.mu.Lock()
--- a/fleet/replica/replica.go
+++ b/fleet/replica/replica.go
@@ -90,7 +90,8 @@
 	return changed
 }
 
-// merge takes item if it is newer than what is held of its key.
+// merge takes item if it is newer than what is held of its key. A removal of
+// something unknown changes nothing, unless it tells the last value.
 func (r *Replica) merge(now clock.Millis, item Item) (merged Item, changed bool) {
 	old, known := r.entries[item.Key]
 	if known && old.item.Revision >= item.Revision {
@@ -100,7 +101,7 @@
 		item.Value, item.Created = old.item.Value, old.item.Created
 	}
 	r.entries[item.Key] = entry{item: item, learned: now}
-	return item, !(item.Removed && !known)
+	return item, known || !item.Removed || len(item.Value) > 0
 }
 
 // removeMissing buries the items that a full update does not hold. Items
--- a/fleet/replica/replica_test.go
+++ b/fleet/replica/replica_test.go
@@ -58,6 +58,20 @@
 	assert.Equal(t, string(r.Since(1).Items[0].Value), "x")
 }
 
+// TestNewcomerLearnsWhatIsGone gives an empty copy what the publisher has, and
+// then what another copy remembers.
+func TestNewcomerLearnsWhatIsGone(t *testing.T) {
+	old := New()
+	old.Apply(0, Update{Complete: 1, Items: []Item{put(1, "a", "x")}})
+	old.Apply(0, Update{After: 1, Complete: 2, Items: []Item{{Key: "a", Revision: 2, Removed: true}}})
+	newcomer := New()
+	newcomer.Apply(0, Update{Full: true, Complete: 2})
+	changed := newcomer.Apply(0, old.Since(0))
+	assert.Equal(t, len(changed), 1)
+	assert.Assert(t, changed[0].Removed && string(changed[0].Value) == "x")
+	assert.Equal(t, len(newcomer.Apply(0, old.Since(0))), 0)
+}
+
 func TestForget(t *testing.T) {
 	r := New()
 	r.Apply(0, Update{Complete: 1, Items: []Item{put(1, "a", "x"), put(1, "b", "y")}})
