Suspect the VM's own link before upstreams, compress what VMs tell each other

A VM at whose link all is held up sees what it would see if many upstreams died.

Change: an upstream or failure domain is lost only if something sent later arrived elsewhere. Updates between VMs are compressed, and the last answer is kept for the next that asks.

--- a/amaranthctl/explain.go
+++ b/amaranthctl/explain.go
@@ -202,10 +202,11 @@
 // findCause names the most specific cause that the lines show.
 func findCause(own, related []logLine) cause {
 	reasons, lost := make(map[string]bool), make(map[string]bool)
-	removed := false
+	removed, anyLost := false, false
 	for _, l := range own {
 		reasons[l.Reason] = true
 		lost[l.Domain] = lost[l.Domain] || l.Message == "flowLost"
+		anyLost = anyLost || l.Message == "flowLost"
 		removed = removed || strings.Contains(string(l.raw), `"published":false`)
 	}
 	for _, l := range related {
@@ -215,7 +216,7 @@
 		}
 	}
 	switch {
-	case reasons["upstreamLost"]:
+	case reasons["upstreamLost"], anyLost:
 		return causeUpstreamLost
 	case reasons["noRoute"]:
 		return causeNoRoute
--- a/amaranthd/entry/peers.go
+++ b/amaranthd/entry/peers.go
@@ -1,8 +1,11 @@
 package entry
 
 import (
+	"bytes"
+	"compress/flate"
 	"context"
 	"encoding/json"
+	"io"
 	"log/slog"
 	"net"
 	"net/netip"
@@ -38,6 +41,8 @@
 	isolatedAfter clock.Millis = 400
 	// pullDelay spreads the questions of VMs that hear of a change at once.
 	pullDelay clock.Millis = 20
+	// maxUpdateBytes bounds an update from another VM.
+	maxUpdateBytes = 16 << 20
 	// newsBytes is the largest change that is told in a datagram.
 	newsBytes = 1000
 
@@ -49,7 +54,7 @@
 	After replica.Revision `json:"after"`
 }
 
-// sinceReply carries an Update in CBOR (RFC 8949).
+// sinceReply carries an Update in CBOR (RFC 8949), compressed (RFC 1951).
 type sinceReply struct {
 	Update []byte `json:"update"`
 }
@@ -71,6 +76,11 @@
 	// tells: upstreams that are gone, to which open flows may lead.
 	knowsGone bool
 
+	answerMu       sync.Mutex
+	answer         sinceReply
+	answerAfter    replica.Revision
+	answerComplete replica.Revision
+
 	alive    map[ident.VMID]bool
 	far      []ident.DomainName
 	started  clock.Millis
@@ -102,14 +112,58 @@
 	return p, func() { _ = p.conn.Close() }, nil
 }
 
-// serveSince answers another VM's question what changed.
+// serveSince answers another VM's question what changed. Many ask the same at
+// a time, so the last answer is kept.
 func (p *peers) serveSince(_ context.Context, params json.RawMessage) (any, error) {
 	var req sinceRequest
 	if err := json.Unmarshal(params, &req); err != nil {
 		return nil, err
 	}
-	data, err := cbor.Marshal(p.keeper.since(req.After))
-	return sinceReply{Update: data}, err
+	complete := p.keeper.held().Complete
+	p.answerMu.Lock()
+	defer p.answerMu.Unlock()
+	if p.answer.Update != nil && p.answerAfter == req.After && p.answerComplete == complete {
+		return p.answer, nil
+	}
+	u := p.keeper.since(req.After)
+	data, err := pack(&u)
+	if err != nil {
+		return nil, err
+	}
+	p.answer, p.answerAfter, p.answerComplete = sinceReply{Update: data}, req.After, u.Complete
+	return p.answer, nil
+}
+
+// pack encodes an update and compresses it, since a configuration may be as
+// large as what a small VM's link carries in a second.
+func pack(u *replica.Update) (data []byte, err error) {
+	defer func() { err = eris.Wrap(err, "entry: pack an update") }()
+	plain, err := cbor.Marshal(u)
+	if err != nil {
+		return nil, err
+	}
+	var buf bytes.Buffer
+	w, err := flate.NewWriter(&buf, flate.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if _, err = w.Write(plain); err != nil {
+		return nil, err
+	}
+	if err = w.Close(); err != nil {
+		return nil, err
+	}
+	return buf.Bytes(), nil
+}
+
+// unpack reads what pack wrote.
+func unpack(data []byte) (u replica.Update, err error) {
+	defer func() { err = eris.Wrap(err, "entry: unpack an update") }()
+	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxUpdateBytes))
+	if err != nil {
+		return u, err
+	}
+	return u, cbor.Unmarshal(plain, &u)
 }
 
 // read takes messages until the socket is closed.
@@ -186,8 +240,8 @@
 		event.Log(ctx, p.log, event.ChannelSilent, slog.String("peer", string(from.ID)), slog.String("error", err.Error()))
 		return
 	}
-	var u replica.Update
-	if err := cbor.Unmarshal(reply.Update, &u); err != nil {
+	u, err := unpack(reply.Update)
+	if err != nil {
 		event.Log(ctx, p.log, event.MessageInvalid, slog.String("peer", string(from.ID)), slog.String("error", err.Error()))
 		return
 	}
--- a/fleet/forward/engine.go
+++ b/fleet/forward/engine.go
@@ -71,6 +71,7 @@
 	domains map[ident.DomainName]*health
 	given   []*upstreamLoad // lost upstreams whose flows are not yet given up
 
+	arrived   atomic.Int64 // clock.Millis of sending, see pathProved
 	swept     int
 	learnedAt clock.Millis
 
@@ -221,7 +222,7 @@
 	}
 	e.learn(now, &f, p)
 	f.seen = now
-	if p.Bytes > 0 && !f.closed && isLost(now, &f) {
+	if p.Bytes > 0 && !f.closed && e.isLost(now, &f) {
 		f.end()
 		s.flows[k] = f
 		e.seams.Lost(p, t.entry)
@@ -235,12 +236,12 @@
 // on its upstream, or the flow itself sends again and nothing answers in the
 // whole failure domain, or the upstream is no longer published. A flow of an
 // upstream that was not found lost may only have come upon others that are.
-func isLost(now clock.Millis, f *flow) bool {
+func (e *Engine) isLost(now clock.Millis, f *flow) bool {
 	if f.target.load.health.condition() == lost {
 		return true
 	}
 	gone := f.target.entry.Removed && now >= f.target.entry.LapsedUntil && now-f.sentAt >= goneAfter
-	return f.stallAt == now && (gone || f.target.domain.condition() == lost)
+	return f.stallAt == now && e.pathProved() > f.sentAt && (gone || f.target.domain.condition() == lost)
 }
 
 // learn updates the flow and its upstream's load and health from a packet.
@@ -287,12 +288,21 @@
 // proved takes note of a sign that the flow's upstream has what the flow sent
 // last: the caller completed the opening, or acknowledged more.
 func (e *Engine) proved(f *flow) {
+	for {
+		old := e.arrived.Load()
+		if int64(f.sentAt) <= old || e.arrived.CompareAndSwap(old, int64(f.sentAt)) {
+			break
+		}
+	}
 	before, after := f.target.load.health.answered(f.sentAt)
 	e.report(f, false, before, after)
 	before, after = f.target.domain.answered(f.sentAt)
 	e.report(f, true, before, after)
 }
 
+// pathProved returns when the newest thing was sent that arrived anywhere.
+func (e *Engine) pathProved() clock.Millis { return clock.Millis(e.arrived.Load()) }
+
 // report tells of a change of what is believed.
 func (e *Engine) report(f *flow, wholeDomain bool, before, after condition) {
 	if before != after {
@@ -309,14 +319,15 @@
 	if f.target.load.health.answeredSince(f.sentAt) {
 		return // others were answered since: this was lost on its way
 	}
+	path := e.pathProved()
 	counted := f.stalledSent == f.sentAt
 	f.stallAt, f.stalledSent = now, f.sentAt
-	before, after := f.target.load.health.stall(now, f.sentAt, counted, f.target.load, 1)
+	before, after := f.target.load.health.stall(now, f.sentAt, path, counted, f.target.load, 1)
 	e.report(f, false, before, after)
 	if before != lost && after == lost {
 		e.giveUp(f.target.load)
 	}
-	before, after = f.target.domain.stall(now, f.sentAt, counted, f.target.load, 2)
+	before, after = f.target.domain.stall(now, f.sentAt, path, counted, f.target.load, 2)
 	e.report(f, true, before, after)
 }
 
@@ -343,7 +354,7 @@
 	e.mu.Unlock()
 	for _, l := range given {
 		for i := range e.flows.shards {
-			packets = e.flows.shards[i].giveUp(l, packets)
+			packets = e.flows.shards[i].giveUp(l, packets, e.seams.Lost)
 		}
 	}
 	e.Refused[UpstreamLost].Add(int64(len(packets)))
--- a/fleet/forward/flows.go
+++ b/fleet/forward/flows.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"sync"
 
+	"github.com/amaranthswitch/amaranthswitch/fleet/catalog"
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
 )
 
@@ -185,8 +186,9 @@
 }
 
 // giveUp ends the flows to l that were seen to wait in vain, and appends a
-// packet of each. The others may have been heard, or will send again.
-func (s *shard) giveUp(l *upstreamLoad, packets []Packet) []Packet {
+// packet of each, which told is told. The others may have been heard, or will
+// send again.
+func (s *shard) giveUp(l *upstreamLoad, packets []Packet, told func(*Packet, *catalog.Entry)) []Packet {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for k, f := range s.flows {
@@ -196,6 +198,7 @@
 		packets = append(packets, Packet{
 			Caller: endOf(k[0:6]), Service: endOf(k[6:12]), Ack: f.ack, Opening: !f.linked,
 		})
+		told(&packets[len(packets)-1], f.target.entry)
 		f.end()
 		s.flows[k] = f
 	}
--- a/fleet/forward/health.go
+++ b/fleet/forward/health.go
@@ -70,7 +70,9 @@
 // stall records that a flow waits in vain for source to answer what it sent at
 // the given time, and returns what was believed before and after. counted tells
 // that this was recorded before. least is how many sources must be waited for.
-func (h *health) stall(now, sentAt clock.Millis, counted bool, source any, least int) (before, after condition) {
+// Nothing is lost unless something sent later, at pathProved, arrived elsewhere:
+// else it may be the VM's own link that holds all up.
+func (h *health) stall(now, sentAt, pathProved clock.Millis, counted bool, source any, least int) (before, after condition) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if sentAt < h.proved {
@@ -93,7 +95,7 @@
 		h.trialBackoff = firstTrial
 		h.nextTrial = now + firstTrial
 	}
-	if h.stalled >= lostFlows && now-h.proved >= lostAfter {
+	if h.stalled >= lostFlows && now-h.proved >= lostAfter && pathProved > h.stalledSent {
 		h.cond = lost
 	}
 	return before, h.cond
