Split the daemon's files by job, let no goroutine go unwatched

Cause: peers.go held messages, calls and paths in 430 lines, engine.go placement and health in 446; questions to other VMs and the interruption of a watch ran in goroutines that reported to nobody; clean-up lists stood twice.

Change: exchange.go, paths.go and learn.go; questions wait in a queue that a part of the daemon works off; a watch is interrupted by its cancel function; package teardown serves both daemons. No change of behaviour is meant.

--- a/amaranthd/daemon/daemon.go
+++ b/amaranthd/daemon/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/platform"
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/rpc"
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/settings"
+	"github.com/amaranthswitch/amaranthswitch/amaranthd/teardown"
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/tracing"
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/upstream"
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/vm"
@@ -42,20 +43,6 @@
 	platformDown atomic.Bool
 }
 
-// cleanups collects the clean-up functions of the parts, run last to first.
-type cleanups struct {
-	list []func()
-}
-
-func (c *cleanups) add(f func()) { c.list = append(c.list, f) }
-
-func (c *cleanups) run() {
-	for i := len(c.list) - 1; i >= 0; i-- {
-		c.list[i]()
-	}
-	c.list = nil
-}
-
 // Option configures a Daemon.
 type Option func(*options)
 
@@ -74,7 +61,7 @@
 	for _, opt := range opts {
 		opt(&o)
 	}
-	clean := &cleanups{}
+	clean := &teardown.List{}
 	c := dig.New()
 	provide := func(constructor any) {
 		if err == nil {
@@ -85,7 +72,7 @@
 	provide(func() *settings.Settings { return &set })
 	provide(func() clock.Clock { return o.clk })
 	provide(func() *slog.Logger { return log.With(slog.String("vm", string(set.VM))) })
-	provide(func() *cleanups { return clean })
+	provide(func() *teardown.List { return clean })
 	provide(provideEngine)
 	provide(provideSocket)
 	provide(providePool)
@@ -103,10 +90,10 @@
 		err = c.Invoke(func(built *Daemon) { d = built })
 	}
 	if err != nil {
-		clean.run()
+		clean.Run()
 		return nil, nil, err
 	}
-	return d, clean.run, nil
+	return d, clean.Run, nil
 }
 
 func provideEngine(set *settings.Settings, clk clock.Clock) *steering.Engine {
@@ -120,36 +107,36 @@
 	return steering.New(clk.Now(), set.VM, opts...)
 }
 
-func provideSocket(ctx context.Context, set *settings.Settings, clean *cleanups) (*vm.Socket, error) {
+func provideSocket(ctx context.Context, set *settings.Settings, clean *teardown.List) (*vm.Socket, error) {
 	s, cleanup, err := vm.NewSocket(ctx, set.VM, set.Peer, set.SocketBufferBytes)
 	if err == nil {
-		clean.add(cleanup)
+		clean.Add(cleanup)
 	}
 	return s, err
 }
 
-func providePool(set *settings.Settings, clean *cleanups) *rpc.Pool {
+func providePool(set *settings.Settings, clean *teardown.List) *rpc.Pool {
 	p, cleanup := rpc.NewPool(set.RPC.Addr(), set.Timers.CallMillis)
-	clean.add(cleanup)
+	clean.Add(cleanup)
 	return p
 }
 
-func provideServer(ctx context.Context, set *settings.Settings, clean *cleanups) (*rpc.Server, error) {
+func provideServer(ctx context.Context, set *settings.Settings, clean *teardown.List) (*rpc.Server, error) {
 	s := rpc.NewServer()
 	cleanup, err := s.Serve(ctx, set.RPC)
 	if err == nil {
-		clean.add(cleanup)
+		clean.Add(cleanup)
 	}
 	return s, err
 }
 
-func providePlatform(set *settings.Settings, clean *cleanups) *platform.Client {
+func providePlatform(set *settings.Settings, clean *teardown.List) *platform.Client {
 	c, cleanup := platform.New(set.Platform, set.Timers.WatchMillis, set.Timers.WatchRetryMillis)
-	clean.add(cleanup)
+	clean.Add(cleanup)
 	return c
 }
 
-func providePath(ctx context.Context, set *settings.Settings, engine *steering.Engine, control *Control, socket *vm.Socket, clk clock.Clock, tracer *tracing.Tracer, clean *cleanups) (*fabric.Path, error) {
+func providePath(ctx context.Context, set *settings.Settings, engine *steering.Engine, control *Control, socket *vm.Socket, clk clock.Clock, tracer *tracing.Tracer, clean *teardown.List) (*fabric.Path, error) {
 	seams := fabric.Seams{
 		Now:        clk.Now,
 		Paused:     control.paused,
@@ -163,7 +150,7 @@
 	p, cleanup, err := fabric.New(ctx, engine, set.Tunnel, set.FabricReply, seams,
 		fabric.WithWorkers(set.Workers), fabric.WithSocketBuffers(set.SocketBufferBytes))
 	if err == nil {
-		clean.add(cleanup)
+		clean.Add(cleanup)
 		control.attach(p)
 	}
 	return p, err
@@ -171,7 +158,7 @@
 
 // provideOperator starts the operators' server, which shows the daemon once it
 // is built.
-func provideOperator(ctx context.Context, set *settings.Settings, control *Control, clean *cleanups) (*operator.Server, error) {
+func provideOperator(ctx context.Context, set *settings.Settings, control *Control, clean *teardown.List) (*operator.Server, error) {
 	status := func() any {
 		if d := control.daemon.Load(); d != nil {
 			return d.Status()
@@ -180,7 +167,7 @@
 	}
 	s, cleanup, err := operator.Start(ctx, set.Operator, status, control.ready)
 	if err == nil {
-		clean.add(cleanup)
+		clean.Add(cleanup)
 	}
 	return s, err
 }
--- a/amaranthd/daemon/requests.go
+++ b/amaranthd/daemon/requests.go
@@ -11,6 +11,7 @@
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/operator"
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/rpc"
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/settings"
+	"github.com/amaranthswitch/amaranthswitch/amaranthd/teardown"
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/tracing"
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/upstream"
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
@@ -42,9 +43,9 @@
 	return h
 }
 
-func provideProber(set *settings.Settings, clk clock.Clock, control *Control, clean *cleanups) *upstream.Prober {
+func provideProber(set *settings.Settings, clk clock.Clock, control *Control, clean *teardown.List) *upstream.Prober {
 	p, cleanup := upstream.NewProber(set.VM, set.Domain, clk, set.Timers.HealthMillis, control.verdictChanged)
-	clean.add(cleanup)
+	clean.Add(cleanup)
 	control.OnConfig = append(control.OnConfig, func(_ clock.Millis, f *config.File) { p.SetConfig(f) })
 	control.OnMembers = append(control.OnMembers, func(_ clock.Millis, peers []membership.Peer) {
 		p.SetNear(near(peers, set.Domain))
@@ -63,9 +64,9 @@
 	return list
 }
 
-func provideGateway(ctx context.Context, set *settings.Settings, clk clock.Clock, log *slog.Logger, h *holder.Holder, control *Control, prober *upstream.Prober, tracer *tracing.Tracer, ops *operator.Server, clean *cleanups) (*caller.Gateway, error) {
+func provideGateway(ctx context.Context, set *settings.Settings, clk clock.Clock, log *slog.Logger, h *holder.Holder, control *Control, prober *upstream.Prober, tracer *tracing.Tracer, ops *operator.Server, clean *teardown.List) (*caller.Gateway, error) {
 	client, closeClient := upstream.NewClient()
-	clean.add(closeClient)
+	clean.Add(closeClient)
 	g, cleanup, err := caller.New(ctx, set.Gateway, clk, log, h, client, caller.Seams{
 		Paused: control.paused,
 		Cold: func(id config.UpstreamID) {
@@ -81,15 +82,15 @@
 	if err != nil {
 		return nil, err
 	}
-	clean.add(cleanup)
+	clean.Add(cleanup)
 	control.OnConfig = append(control.OnConfig, func(_ clock.Millis, f *config.File) { g.SetConfig(f) })
 	return g, nil
 }
 
-func provideTracer(ctx context.Context, set *settings.Settings, clean *cleanups) (*tracing.Tracer, error) {
+func provideTracer(ctx context.Context, set *settings.Settings, clean *teardown.List) (*tracing.Tracer, error) {
 	t, cleanup, err := tracing.New(ctx, set.VM, set.TraceFile, set.TraceShare)
 	if err == nil {
-		clean.add(cleanup)
+		clean.Add(cleanup)
 	}
 	return t, err
 }
--- a/amaranthd/entry/daemon.go
+++ b/amaranthd/entry/daemon.go
@@ -14,6 +14,7 @@
 
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/operator"
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/rpc"
+	"github.com/amaranthswitch/amaranthswitch/amaranthd/teardown"
 	"github.com/amaranthswitch/amaranthswitch/fleet/catalog"
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
 	"github.com/amaranthswitch/amaranthswitch/fleet/event"
@@ -57,19 +58,6 @@
 	opened, answered func(took clock.Millis)
 }
 
-// cleanups collects the clean-up functions of the parts, run last to first.
-type cleanups struct {
-	list []func()
-}
-
-func (c *cleanups) add(f func()) { c.list = append(c.list, f) }
-
-func (c *cleanups) run() {
-	for i := len(c.list) - 1; i >= 0; i-- {
-		c.list[i]()
-	}
-}
-
 // Option configures a Daemon.
 type Option func(*options)
 
@@ -96,7 +84,7 @@
 	for _, opt := range opts {
 		opt(&o)
 	}
-	clean := &cleanups{}
+	clean := &teardown.List{}
 	c := dig.New()
 	for _, constructor := range []any{
 		func() context.Context { return ctx },
@@ -104,7 +92,7 @@
 		func() *Adapter { return &a },
 		func() *options { return &o },
 		func() *slog.Logger { return log.With(slog.String("vm", string(set.VM))) },
-		func() *cleanups { return clean },
+		func() *teardown.List { return clean },
 		func() *observers { return &observers{opened: func(clock.Millis) {}, answered: func(clock.Millis) {}} },
 		provideEngine, provideKeeper, providePath, providePool, provideServer, providePeers, newDaemon,
 	} {
@@ -113,10 +101,10 @@
 		}
 	}
 	if err = c.Invoke(func(built *Daemon) { d = built }); err != nil {
-		clean.run()
+		clean.Run()
 		return nil, nil, err
 	}
-	return d, clean.run, nil
+	return d, clean.Run, nil
 }
 
 func provideEngine(set *Settings, o *options, obs *observers, log *slog.Logger) *forward.Engine {
@@ -136,33 +124,33 @@
 	return newKeeper(a, o.clk, log, set.HeartbeatMillis, publish)
 }
 
-func providePath(ctx context.Context, set *Settings, a *Adapter, engine *forward.Engine, k *keeper, o *options, log *slog.Logger, clean *cleanups) (*path, error) {
+func providePath(ctx context.Context, set *Settings, a *Adapter, engine *forward.Engine, k *keeper, o *options, log *slog.Logger, clean *teardown.List) (*path, error) {
 	p, cleanup, err := newPath(ctx, set, a, engine, o.clk, requestLog{log: log, held: k.held, clk: o.clk})
 	if err == nil {
-		clean.add(cleanup)
+		clean.Add(cleanup)
 	}
 	return p, err
 }
 
-func providePool(set *Settings, clean *cleanups) *rpc.Pool {
+func providePool(set *Settings, clean *teardown.List) *rpc.Pool {
 	p, cleanup := rpc.NewPool(set.Peers.Addr(), callWait)
-	clean.add(cleanup)
+	clean.Add(cleanup)
 	return p
 }
 
-func provideServer(ctx context.Context, set *Settings, clean *cleanups) (*rpc.Server, error) {
+func provideServer(ctx context.Context, set *Settings, clean *teardown.List) (*rpc.Server, error) {
 	s := rpc.NewServer()
 	cleanup, err := s.Serve(ctx, set.Peers)
 	if err == nil {
-		clean.add(cleanup)
+		clean.Add(cleanup)
 	}
 	return s, err
 }
 
-func providePeers(ctx context.Context, set *Settings, engine *forward.Engine, k *keeper, pool *rpc.Pool, server *rpc.Server, o *options, log *slog.Logger, clean *cleanups) (*peers, error) {
+func providePeers(ctx context.Context, set *Settings, engine *forward.Engine, k *keeper, pool *rpc.Pool, server *rpc.Server, o *options, log *slog.Logger, clean *teardown.List) (*peers, error) {
 	p, cleanup, err := newPeers(ctx, set, engine, k, pool, server, o.clk, log)
 	if err == nil {
-		clean.add(cleanup)
+		clean.Add(cleanup)
 	}
 	return p, err
 }
@@ -182,7 +170,7 @@
 	Pool    *rpc.Pool
 	Server  *rpc.Server
 	Observe *observers
-	Clean   *cleanups
+	Clean   *teardown.List
 }
 
 func newDaemon(ctx context.Context, p parts) (d *Daemon, err error) {
@@ -196,12 +184,12 @@
 	if err != nil {
 		return nil, err
 	}
-	p.Clean.add(cleanup)
+	p.Clean.Add(cleanup)
 	return d, d.serveOperators(ctx, p.Set.Metrics, p.Clean)
 }
 
 // serveOperators serves metrics and the status, if an address is set.
-func (d *Daemon) serveOperators(ctx context.Context, address netip.AddrPort, clean *cleanups) error {
+func (d *Daemon) serveOperators(ctx context.Context, address netip.AddrPort, clean *teardown.List) error {
 	if !address.IsValid() {
 		return nil
 	}
@@ -209,7 +197,7 @@
 	if err != nil {
 		return err
 	}
-	clean.add(cleanup)
+	clean.Add(cleanup)
 	d.registerMetrics(s)
 	return nil
 }
@@ -246,8 +234,8 @@
 		slog.String("packets", d.set.Packets.String()), slog.Int("seeds", len(d.set.Seeds)))
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	ends := make(chan error, 4)
-	for _, part := range []func(context.Context) error{d.path.run, d.keeper.run, d.peers.read, d.peers.run} {
+	ends := make(chan error, 5)
+	for _, part := range []func(context.Context) error{d.path.run, d.keeper.run, d.peers.read, d.peers.run, d.peers.exchange.run} {
 		go func() { ends <- part(inner) }()
 	}
 	err := d.tick(ctx, ends)
--- a/amaranthd/entry/keeper.go
+++ b/amaranthd/entry/keeper.go
@@ -69,11 +69,13 @@
 	builtAt   time.Time
 	buildTook time.Duration
 	buildDue  bool
+	// kicked tells that a read was asked for, interrupt ends a watch for it.
+	kicked    bool
+	interrupt func()
 
-	readAt    clock.Millis  // when everything is to be read again
-	kick      chan struct{} // asks for a read at once
-	rank      atomic.Int64  // 0 for the reader
-	confirmed atomic.Int64  // clock.Millis at which the copy was complete
+	readAt    clock.Millis // when everything is to be read again
+	rank      atomic.Int64 // 0 for the reader
+	confirmed atomic.Int64 // clock.Millis at which the copy was complete
 	down      atomic.Bool
 	calls     atomic.Int64
 	failures  atomic.Int64
@@ -83,7 +85,6 @@
 	k := &keeper{
 		source: a.Source, clk: clk, log: log, publish: publish,
 		replica: replica.New(),
-		kick:    make(chan struct{}, 1),
 		news:    func(*replica.Update) {},
 	}
 	k.builder = catalog.NewBuilder(a.Decode, k.reject, 2*heartbeat)
@@ -188,12 +189,29 @@
 
 // reread asks for a read at once, in place of the watch under way.
 func (k *keeper) reread() {
-	select {
-	case k.kick <- struct{}{}:
-	default:
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.kicked = true
+	if k.interrupt != nil {
+		k.interrupt()
 	}
 }
 
+// takeKick reports whether a read was asked for since the last call.
+func (k *keeper) takeKick() (kicked bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	kicked, k.kicked = k.kicked, false
+	return kicked
+}
+
+// setInterrupt sets what ends the watch under way, nil if there is none.
+func (k *keeper) setInterrupt(interrupt func()) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.interrupt = interrupt
+}
+
 // run follows the source, or waits until that is needed, until ctx ends.
 func (k *keeper) run(ctx context.Context) error {
 	retry := firstRetry
@@ -227,15 +245,10 @@
 		return k.read(ctx)
 	case reader:
 		return k.watch(ctx, watchWait)
-	case old:
-		return k.watch(ctx, checkWait)
-	}
-	select {
-	case <-k.kick:
+	case old, k.takeKick():
 		return k.watch(ctx, checkWait)
-	case <-ctx.Done():
-	case <-time.After(ageCheck.Duration()):
 	}
+	sleep(ctx, ageCheck)
 	return nil
 }
 
@@ -265,11 +278,12 @@
 func (k *keeper) watch(ctx context.Context, wait clock.Millis) error {
 	bounded, cancel := context.WithTimeout(ctx, (wait + answerWait).Duration())
 	defer cancel()
-	kicked := k.interruptible(bounded, cancel)
+	k.setInterrupt(cancel)
+	defer k.setInterrupt(nil)
 	k.calls.Add(1)
 	u, err := k.source.Watch(bounded, k.held().Complete, wait)
 	if err != nil {
-		if kicked.Load() {
+		if k.takeKick() {
 			return errKicked
 		}
 		return err
@@ -282,21 +296,6 @@
 	return nil
 }
 
-// interruptible calls cancel if a read is asked for before ctx ends, and tells
-// so in the result.
-func (k *keeper) interruptible(ctx context.Context, cancel func()) *atomic.Bool {
-	var kicked atomic.Bool
-	go func() {
-		select {
-		case <-k.kick:
-			kicked.Store(true)
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
-	return &kicked
-}
-
 func (k *keeper) succeeded(ctx context.Context, at clock.Millis) {
 	k.confirm(at)
 	if k.down.CompareAndSwap(true, false) {
--- a/amaranthd/entry/peers.go
+++ b/amaranthd/entry/peers.go
@@ -1,11 +1,7 @@
 package entry
 
 import (
-	"bytes"
-	"compress/flate"
 	"context"
-	"encoding/json"
-	"io"
 	"log/slog"
 	"net"
 	"net/netip"
@@ -18,7 +14,6 @@
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/rpc"
 	"github.com/amaranthswitch/amaranthswitch/fleet/catalog"
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
-	"github.com/amaranthswitch/amaranthswitch/fleet/event"
 	"github.com/amaranthswitch/amaranthswitch/fleet/forward"
 	"github.com/amaranthswitch/amaranthswitch/fleet/gossip"
 	"github.com/amaranthswitch/amaranthswitch/fleet/ident"
@@ -33,32 +28,10 @@
 	callWait clock.Millis = 1000
 	// maxMessageBytes holds the largest datagram between VMs.
 	maxMessageBytes = 1 << 16
-	// cutAfter is the silence of all VMs of a failure domain that means that
-	// there is no path to it.
-	cutAfter clock.Millis = 1200
-	// isolatedAfter is such a silence of all other failure domains that, with
-	// no upstream that answers, makes this VM leave the packets to others.
-	isolatedAfter clock.Millis = 400
-	// pullDelay spreads the questions of VMs that hear of a change at once.
-	pullDelay clock.Millis = 20
-	// maxUpdateBytes bounds an update from another VM.
-	maxUpdateBytes = 16 << 20
 	// newsBytes is the largest change that is told in a datagram.
 	newsBytes = 1000
-
-	methodSince rpc.Method = "published.since"
 )
 
-// sinceRequest asks for what changed after a revision.
-type sinceRequest struct {
-	After replica.Revision `json:"after"`
-}
-
-// sinceReply carries an Update in CBOR (RFC 8949), compressed (RFC 1951).
-type sinceReply struct {
-	Update []byte `json:"update"`
-}
-
 // peers talks to the other VMs.
 type peers struct {
 	conn   *net.UDPConn
@@ -76,10 +49,7 @@
 	// tells: upstreams that are gone, to which open flows may lead.
 	knowsGone bool
 
-	answerMu       sync.Mutex
-	answer         sinceReply
-	answerAfter    replica.Revision
-	answerComplete replica.Revision
+	exchange *exchange
 
 	alive    map[ident.VMID]bool
 	far      []ident.DomainName
@@ -87,7 +57,6 @@
 	cut      map[ident.DomainName]bool // failure domains none of whose VMs is heard
 	isolated bool                      // all of them are
 	stranded atomic.Bool
-	pulling  atomic.Bool
 	bytesOut atomic.Int64
 	invalid  atomic.Int64
 }
@@ -108,64 +77,11 @@
 		far:   otherDomains(set), started: now,
 		cut: make(map[ident.DomainName]bool),
 	}
-	server.Handle(methodSince, p.serveSince)
+	p.exchange = newExchange(k, pool, p.ahead, log)
+	server.Handle(methodSince, p.exchange.serve)
 	return p, func() { _ = p.conn.Close() }, nil
 }
 
-// serveSince answers another VM's question what changed. Many ask the same at
-// a time, so the last answer is kept.
-func (p *peers) serveSince(_ context.Context, params json.RawMessage) (any, error) {
-	var req sinceRequest
-	if err := json.Unmarshal(params, &req); err != nil {
-		return nil, err
-	}
-	complete := p.keeper.held().Complete
-	p.answerMu.Lock()
-	defer p.answerMu.Unlock()
-	if p.answer.Update != nil && p.answerAfter == req.After && p.answerComplete == complete {
-		return p.answer, nil
-	}
-	u := p.keeper.since(req.After)
-	data, err := pack(&u)
-	if err != nil {
-		return nil, err
-	}
-	p.answer, p.answerAfter, p.answerComplete = sinceReply{Update: data}, req.After, u.Complete
-	return p.answer, nil
-}
-
-// pack encodes an update and compresses it, since a configuration may be as
-// large as what a small VM's link carries in a second.
-func pack(u *replica.Update) (data []byte, err error) {
-	defer func() { err = eris.Wrap(err, "entry: pack an update") }()
-	plain, err := cbor.Marshal(u)
-	if err != nil {
-		return nil, err
-	}
-	var buf bytes.Buffer
-	w, err := flate.NewWriter(&buf, flate.BestSpeed)
-	if err != nil {
-		return nil, err
-	}
-	if _, err = w.Write(plain); err != nil {
-		return nil, err
-	}
-	if err = w.Close(); err != nil {
-		return nil, err
-	}
-	return buf.Bytes(), nil
-}
-
-// unpack reads what pack wrote.
-func unpack(data []byte) (u replica.Update, err error) {
-	defer func() { err = eris.Wrap(err, "entry: unpack an update") }()
-	plain, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxUpdateBytes))
-	if err != nil {
-		return u, err
-	}
-	return u, cbor.Unmarshal(plain, &u)
-}
-
 // read takes messages until the socket is closed.
 func (p *peers) read(ctx context.Context) error {
 	buf := make([]byte, maxMessageBytes)
@@ -177,11 +93,12 @@
 			}
 			return eris.Wrap(err, "entry: read peers")
 		}
-		p.receive(ctx, buf[:n])
+		p.receive(buf[:n])
 	}
 }
 
-func (p *peers) receive(ctx context.Context, data []byte) {
+// receive takes a message and what follows from it.
+func (p *peers) receive(data []byte) {
 	var msg gossip.Message
 	if err := cbor.Unmarshal(data, &msg); err != nil {
 		p.invalid.Add(1)
@@ -197,55 +114,15 @@
 	p.send(out)
 	p.keeper.confirm(confirmed)
 	if askAll {
-		go p.pullFrom(ctx, msg.From, 0)
+		p.exchange.want(pull{from: msg.From})
 	}
 	if msg.News != nil && msg.News.After <= held.Complete && msg.News.Complete > held.Complete {
 		p.keeper.apply(*msg.News, string(msg.From.ID))
 		return
 	}
 	if msg.Complete > held.Complete {
-		p.catchUp(ctx)
-	}
-}
-
-// catchUp asks a VM that knows more, unless that is under way.
-func (p *peers) catchUp(ctx context.Context) {
-	if !p.pulling.CompareAndSwap(false, true) {
-		return
-	}
-	go func() {
-		defer p.pulling.Store(false)
-		sleep(ctx, pullDelay)
-		p.pull(ctx)
-	}()
-}
-
-// pull fetches what a VM that knows more knows.
-func (p *peers) pull(ctx context.Context) {
-	complete := p.keeper.held().Complete
-	p.mu.Lock()
-	from, ok := p.group.Ahead(p.clk.Now(), complete)
-	p.mu.Unlock()
-	if !ok {
-		return
-	}
-	p.pullFrom(ctx, from, complete)
-}
-
-// pullFrom fetches what a VM knows to have changed after a revision.
-func (p *peers) pullFrom(ctx context.Context, from gossip.Peer, after replica.Revision) {
-	var reply sinceReply
-	err := p.pool.Call(ctx, from.Address, methodSince, sinceRequest{After: after}, &reply)
-	if err != nil {
-		event.Log(ctx, p.log, event.ChannelSilent, slog.String("peer", string(from.ID)), slog.String("error", err.Error()))
-		return
-	}
-	u, err := unpack(reply.Update)
-	if err != nil {
-		event.Log(ctx, p.log, event.MessageInvalid, slog.String("peer", string(from.ID)), slog.String("error", err.Error()))
-		return
+		p.exchange.want(pull{behind: true})
 	}
-	p.keeper.apply(u, string(from.ID))
 }
 
 // run sends a round of messages again and again until ctx ends.
@@ -283,76 +160,15 @@
 	p.watchPaths(ctx, now, heard)
 	p.checkStranded(now)
 	if behind {
-		p.catchUp(ctx)
-	}
-}
-
-// inDomain counts the VMs of a failure domain.
-func inDomain(list []gossip.Peer, domain ident.DomainName) (n int) {
-	for _, peer := range list {
-		if peer.Domain == domain {
-			n++
-		}
+		p.exchange.want(pull{behind: true})
 	}
-	return n
 }
 
-// otherDomains returns the failure domains of the fleet but the own one.
-func otherDomains(set *Settings) (far []ident.DomainName) {
-	for _, d := range set.Domains {
-		if d != set.Domain {
-			far = append(far, d)
-		}
-	}
-	return far
-}
-
-// watchPaths notices partitions by the silence of whole failure domains.
-func (p *peers) watchPaths(ctx context.Context, now clock.Millis, heard map[ident.DomainName]clock.Millis) {
-	p.isolated = len(p.far) > 0
-	for _, domain := range p.far {
-		silence := now - max(p.started, heard[domain])
-		p.isolated = p.isolated && silence >= isolatedAfter
-		cut := silence >= cutAfter
-		if cut == p.cut[domain] {
-			continue
-		}
-		p.cut[domain] = cut
-		p.engine.SetUnheard(domain, cut)
-		if !cut {
-			p.engine.PathBack(now, domain)
-		}
-		event.Log(ctx, p.log, event.DomainHeard, slog.String("domain", string(domain)), slog.Bool("heard", !cut))
-	}
-}
-
-// checkStranded decides whether this VM leaves the packets to VMs elsewhere:
-// it hears no other failure domain, and no upstream answers it, or so say all
-// its neighbours, which may have seen more.
-func (p *peers) checkStranded(now clock.Millis) {
-	reaches := !p.engine.Stranded(now)
+// ahead returns a VM that knows more than this one.
+func (p *peers) ahead(complete replica.Revision) (gossip.Peer, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	stranded := p.isolated && (!reaches || p.group.NearStranded(now))
-	p.stranded.Store(stranded)
-	p.group.SetStranded(p.isolated && !reaches)
-}
-
-// logChanges logs which VMs began or ceased to be heard.
-func (p *peers) logChanges(ctx context.Context, alive []gossip.Peer) {
-	heard := make(map[ident.VMID]bool, len(alive))
-	for _, peer := range alive {
-		heard[peer.ID] = true
-		if !p.alive[peer.ID] {
-			event.Log(ctx, p.log, event.VMChanged, slog.String("peer", string(peer.ID)), slog.String("state", "alive"))
-		}
-	}
-	for id := range p.alive {
-		if !heard[id] {
-			event.Log(ctx, p.log, event.VMChanged, slog.String("peer", string(id)), slog.String("state", "silent"))
-		}
-	}
-	p.alive = heard
+	return p.group.Ahead(p.clk.Now(), complete)
 }
 
 // news tells other VMs of a change.
