Keep newcomers from cold upstreams until they know the others

Cause: a VM that has just started counts only itself, so after a power loss each VM would take a cold upstream's whole rate.

Change: a VM places no flow on a cold upstream in its first 2 s, in which it hears of all others (TestAllMeetThroughOneSeed).

--- a/amaranthd/entry/peers.go
+++ b/amaranthd/entry/peers.go
@@ -26,6 +26,9 @@
 	roundEvery clock.Millis = 250
 	// callWait bounds a call to another VM.
 	callWait clock.Millis = 1000
+	// groupKnownAfter is the time after its start in which a VM hears of all
+	// others, and they of it.
+	groupKnownAfter = 2 * clock.Second
 	// maxMessageBytes holds the largest datagram between VMs.
 	maxMessageBytes = 1 << 16
 	// newsBytes is the largest change that is told in a datagram.
@@ -154,7 +157,10 @@
 	p.mu.Unlock()
 	p.send(out)
 	p.keeper.setRank(rank)
-	p.engine.SetVMs(vms, near)
+	p.engine.SetNear(near)
+	if now-p.started >= groupKnownAfter {
+		p.engine.SetVMs(vms)
+	}
 	p.engine.SetOthers(sumsOf(others))
 	p.logChanges(ctx, alive)
 	p.watchPaths(ctx, now, heard)
--- a/fleet/forward/engine.go
+++ b/fleet/forward/engine.go
@@ -99,7 +99,7 @@
 			Opened: func(clock.Millis) {}, Answered: func(clock.Millis) {},
 		},
 	}
-	e.vms.Store(&[]ident.VMID{self})
+	e.vms.Store(&[]ident.VMID{})
 	for _, opt := range opts {
 		opt(e)
 	}
@@ -150,12 +150,13 @@
 	return h
 }
 
-// SetVMs sets the VMs that share the load of cold upstreams, self included, and
-// the number of those that place flows as this one does and tell their loads.
-func (e *Engine) SetVMs(vms []ident.VMID, near int) {
-	e.vms.Store(&vms)
-	e.near.Store(int32(near))
-}
+// SetVMs sets the VMs that share the load of cold upstreams, self included.
+// Until then none goes there from this VM, which may not know all others yet.
+func (e *Engine) SetVMs(vms []ident.VMID) { e.vms.Store(&vms) }
+
+// SetNear sets the number of VMs that place flows as this one does and tell
+// their loads, self included.
+func (e *Engine) SetNear(n int) { e.near.Store(int32(n)) }
 
 // Ready reports whether the engine has a catalog.
 func (e *Engine) Ready() bool { return e.view.Load() != nil }
--- a/fleet/forward/engine_test.go
+++ b/fleet/forward/engine_test.go
@@ -317,7 +317,7 @@
 		for i := range engines {
 			engines[i] = New(ids[i], "a")
 			engines[i].SetCatalog(published(0, rate, cold))
-			engines[i].SetVMs(ids, n)
+			engines[i].SetVMs(ids)
 		}
 		var placed []clock.Millis
 		for now := clock.Millis(1); now < 3000; now += 5 {
@@ -337,6 +337,24 @@
 	})
 }
 
+// TestNewcomersSpareColdUpstreams starts VMs that do not know of each other
+// yet, as after a power loss. Together they would take the rate many times.
+func TestNewcomersSpareColdUpstreams(t *testing.T) {
+	cold := upstream(1, "web", "a")
+	cold.ColdMillis = 3000
+	e := New("vm", "a")
+	e.SetCatalog(published(0, 10, cold))
+	assert.Equal(t, e.Handle(100, opening(1, webAddress)).Reason, NoUpstream)
+	e.SetVMs([]ident.VMID{"other", "vm"})
+	placed := 0
+	for now := clock.Millis(200); now < 2200; now += 5 {
+		if e.Handle(now, opening(int(now), webAddress)).Action == Forward {
+			placed++
+		}
+	}
+	assert.Assert(t, placed > 0)
+}
+
 // TestLoadsReturnToNothing opens and ends flows in every way. No load remains.
 func TestLoadsReturnToNothing(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/fleet/forward/place.go
+++ b/fleet/forward/place.go
@@ -177,6 +177,9 @@
 		return false
 	}
 	vms := *e.vms.Load()
+	if len(vms) == 0 {
+		return false
+	}
 	placers := warmup.Placers(s.ColdPerSecond, len(vms))
 	if !warmup.IsPlacer(e.self, config.UpstreamID(t.entry.Token), vms, placers) {
 		return false
--- a/standin/emulator/world.go
+++ b/standin/emulator/world.go
@@ -132,7 +132,8 @@
 		}
 	}
 	for _, vm := range w.VMs {
-		vm.Engine.SetVMs(ids, w.count(vm.Domain))
+		vm.Engine.SetVMs(ids)
+		vm.Engine.SetNear(w.count(vm.Domain))
 	}
 	w.Publish()
 	w.every(tickEvery, func() {
