Let a stopping daemon take no part in the round under way

Cause: leave ran a whole round beside the one of the loop, and both wrote the beliefs about paths without a lock.

Change: leave only sends a round of messages.

--- a/amaranthd/entry/peers.go
+++ b/amaranthd/entry/peers.go
@@ -144,7 +144,7 @@
 	loads := loadsOf(p.engine.Loads())
 	p.mu.Lock()
 	out := p.group.Round(now, held, loads)
-	rank, _ := p.group.Rank(now)
+	rank := p.group.Rank(now)
 	vms := p.group.VMs()
 	alive := p.group.Alive(now)
 	others := p.group.Others(now)
@@ -200,10 +200,12 @@
 
 // leave tells other VMs that this one stops.
 func (p *peers) leave() {
+	held := p.keeper.held()
 	p.mu.Lock()
 	p.group.Leave()
+	out := p.group.Round(p.clk.Now(), held, nil)
 	p.mu.Unlock()
-	p.round(context.Background())
+	p.send(out)
 }
 
 // status returns the VMs heard lately.
--- a/fleet/gossip/group.go
+++ b/fleet/gossip/group.go
@@ -110,7 +110,7 @@
 func (g *Group) Round(now clock.Millis, held Copy, loads []Load) (out []Send) {
 	g.rounds++
 	g.forget(now)
-	rank, _ := g.Rank(now)
+	rank := g.Rank(now)
 	greet := g.rounds%silentEvery == 1
 	var known []Peer
 	if greet {
@@ -150,7 +150,7 @@
 // News returns messages about a change. The reader tells as many VMs as it
 // may, the others pass on to a few what they heard.
 func (g *Group) News(now clock.Millis, held Copy, news *replica.Update) (out []Send) {
-	rank, _ := g.Rank(now)
+	rank := g.Rank(now)
 	alive, _ := g.targets(now, rank == 0)
 	for _, to := range alive {
 		msg := g.message(now, held)
@@ -188,21 +188,19 @@
 }
 
 // Rank returns the place of this VM among the living VMs of its region, 0 for
-// the reader, which follows the publisher for all of them, and how many there
-// are. VMs that are cut off from each other have a reader each.
-func (g *Group) Rank(now clock.Millis) (rank, of int) {
+// the reader, which follows the publisher for all of them. VMs that are cut off
+// from each other have a reader each.
+func (g *Group) Rank(now clock.Millis) (rank int) {
 	own := readerWeight(g.self.ID)
-	of = 1
 	for id, m := range g.members {
 		if m.peer.Region != g.self.Region || !m.alive(now) {
 			continue
 		}
-		of++
 		if w := readerWeight(id); w > own || w == own && id < g.self.ID {
 			rank++
 		}
 	}
-	return rank, of
+	return rank
 }
 
 // readerWeight orders VMs alike on all of them.
--- a/fleet/gossip/group_test.go
+++ b/fleet/gossip/group_test.go
@@ -118,7 +118,7 @@
 func (f *fleet) readers() map[ident.DomainName]int {
 	n := make(map[ident.DomainName]int)
 	for _, g := range f.groups {
-		if rank, _ := g.Rank(f.now); rank == 0 {
+		if g.Rank(f.now) == 0 {
 			n["all"]++
 		}
 	}
@@ -129,7 +129,7 @@
 	f := newFleet(5, 1, 0)
 	f.rounds(20)
 	for a, g := range f.groups {
-		if rank, _ := g.Rank(f.now); rank == 0 {
+		if g.Rank(f.now) == 0 {
 			delete(f.groups, a)
 			break
 		}
--- a/standin/emulator/world.go
+++ b/standin/emulator/world.go
@@ -67,7 +67,6 @@
 	rng    *rand.Rand
 	events events
 	order  uint64
-	items  map[replica.Key]replica.Item
 	rev    replica.Revision
 	port   uint16
 	hosts  uint32
