Keep the platform's keys out of measurements

Cause: the capacity measurement and a test named keys as the platform does.

Change: names of their own. No change of behaviour.

--- a/amaranthd/capacity/entry.go
+++ b/amaranthd/capacity/entry.go
@@ -36,7 +36,7 @@
 	items := []replica.Item{{Key: "config", Revision: 1, Created: 1}}
 	for i := range upstreams {
 		items = append(items, replica.Item{
-			Key: replica.Key(fmt.Sprintf("servers/i-%010x", i)), Value: make([]byte, valueBytes),
+			Key: replica.Key(fmt.Sprintf("upstreams/%010x", i)), Value: make([]byte, valueBytes),
 			Revision: replica.Revision(i + 2), Created: replica.Revision(i + 2),
 		})
 	}
--- a/amaranthd/entry/exchange_test.go
+++ b/amaranthd/entry/exchange_test.go
@@ -13,7 +13,7 @@
 	u := replica.Update{After: 3, Complete: 9, Full: true}
 	for i := range 1000 {
 		u.Items = append(u.Items, replica.Item{
-			Key: replica.Key(fmt.Sprint("servers/i-", i)), Value: fmt.Appendf(nil, `{"service":"s%d","state":"ready"}`, i%10), Revision: replica.Revision(i),
+			Key: replica.Key(fmt.Sprint("upstreams/", i)), Value: fmt.Appendf(nil, `{"service":"s%d","state":"ready"}`, i%10), Revision: replica.Revision(i),
 		})
 	}
 	data, err := pack(&u)
