Drop a field that nothing reads

Cause: peers kept the pool of connections after its calls moved to exchange.

Change: the field goes. No change of behaviour.

--- a/amaranthd/entry/peers.go
+++ b/amaranthd/entry/peers.go
@@ -38,7 +38,6 @@
 // peers talks to the other VMs.
 type peers struct {
 	conn   *net.UDPConn
-	pool   *rpc.Pool
 	engine *forward.Engine
 	keeper *keeper
 	clk    clock.Clock
@@ -74,7 +73,7 @@
 	self := gossip.Peer{ID: set.VM, Domain: set.Domain, Region: set.Region, Address: set.Peers}
 	now := clk.Now()
 	p = &peers{
-		conn: pc.(*net.UDPConn), pool: pool, engine: engine, keeper: k, clk: clk, log: log, domain: set.Domain,
+		conn: pc.(*net.UDPConn), engine: engine, keeper: k, clk: clk, log: log, domain: set.Domain,
 		group: gossip.New(now, self, set.Seeds, uint64(set.Peers.Addr().As4()[3])),
 		alive: make(map[ident.VMID]bool),
 		far:   otherDomains(set), started: now,
