Count each VM's answer once when a home asks for a flow

Cause: a home that does not know a flow waited for a number of answers. The network may deliver an answer, or the question, twice; the second "unknown" of one VM then stood for the answer of another that knew the flow, and the home fell back to the table.

Change: the VMs that have not answered are kept by name.

--- a/fleet/steering/pending.go
+++ b/fleet/steering/pending.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
 	"github.com/amaranthswitch/amaranthswitch/fleet/config"
@@ -99,7 +100,7 @@
 		return drop(HoldFull), true
 	}
 	sh.pending[p.ID] = &pending{
-		opening: opening, udp: !p.TCP, vni: s.vni, waiting: len(targets),
+		opening: opening, udp: !p.TCP, vni: s.vni, waiting: targets,
 		deadline: now + e.limits.AskTimeoutMillis, client: p.Src, port: p.Dst.Port(),
 	}
 	e.pendings.Add(1)
@@ -159,7 +160,7 @@
 	case Ask:
 		e.answer(sh, from, msg)
 	case Answer:
-		e.answered(now, sh, s, msg)
+		e.answered(now, sh, s, from, msg)
 	default:
 		e.note(now, sh, s, msg)
 	}
@@ -178,7 +179,8 @@
 	e.send(reply)
 }
 
-func (e *Engine) answered(now clock.Millis, sh *shard, s *service, msg Message) {
+// answered takes a VM's answer. Networks may deliver it twice, which counts once.
+func (e *Engine) answered(now clock.Millis, sh *shard, s *service, from config.VMID, msg Message) {
 	pd := sh.pending[msg.ID]
 	if pd == nil {
 		return
@@ -189,8 +191,8 @@
 		e.release(Release{ID: msg.ID})
 		return
 	}
-	pd.waiting--
-	if pd.waiting == 0 {
+	pd.waiting = slices.DeleteFunc(pd.waiting, func(vm config.VMID) bool { return vm == from })
+	if len(pd.waiting) == 0 {
 		e.conclude(now, sh, s, msg.ID, pd)
 	}
 }
--- a/fleet/steering/shard.go
+++ b/fleet/steering/shard.go
@@ -59,15 +59,14 @@
 
 // pending is a flow that waits for answers of other VMs.
 type pending struct {
-	opening   bool
-	udp       bool
-	vni       config.VNI
-	ambiguous bool
-	waiting   int
-	missed    bool
-	deadline  clock.Millis
-	client    netip.AddrPort
-	port      uint16
+	opening  bool
+	udp      bool
+	vni      config.VNI
+	waiting  []config.VMID // VMs that were asked and have not answered
+	missed   bool
+	deadline clock.Millis
+	client   netip.AddrPort
+	port     uint16
 }
 
 func (e *Engine) shard(id flow.ID) *shard { return &e.shards[id.Hi&shardMask] }
--- a/fleet/steering/steering_test.go
+++ b/fleet/steering/steering_test.go
@@ -341,3 +341,50 @@
 	assert.Assert(t, releases[0].Discard, "a SYN was placed after a pause")
 	assert.Equal(t, e.Flows(), int64(0))
 }
+
+// TestDuplicateAnswersCountOnce hands a home that starts the answer of a VM that
+// does not know a flow twice for each VM asked. The one that knows is heard last.
+func TestDuplicateAnswersCountOnce(t *testing.T) {
+	r := newRig(t, 5, 6, 1)
+	list := r.open(400)
+	r.configure(func(f *config.File) { f.Services[0].Upstreams[0].State = config.UpstreamDrain })
+	gone := r.vms[2]
+	r.remove(gone, true)
+	r.start(gone)
+	r.join()
+	moved := 0
+	for _, f := range list {
+		before := f.at
+		p := Packet{Info: packet.Info{
+			VNI: testVNI, ID: f.id, TCP: true, Flags: packet.ACK, Ack: 1, Src: f.src,
+			Dst: netip.AddrPortFrom(r.file.Services[0].Address, 443),
+		}}
+		home := r.engines[gone]
+		if home.Handle(r.now, &p).Kind != Hold {
+			continue
+		}
+		questions, _ := home.Take()
+		knows := make(map[config.VMID]Message)
+		for _, q := range questions {
+			other := r.engines[q.To]
+			other.Receive(r.now, gone, q)
+			answers, _ := other.Take()
+			for _, a := range answers {
+				if a.Upstream != 0 {
+					knows[q.To] = a
+					continue
+				}
+				home.Receive(r.now, q.To, a)
+				home.Receive(r.now, q.To, a)
+			}
+		}
+		for vm, a := range knows {
+			home.Receive(r.now, vm, a)
+		}
+		home.Take()
+		if act := home.Handle(r.now, &p); len(knows) > 0 && act.Kind == Forward && act.To != before {
+			moved++
+		}
+	}
+	assert.Equal(t, moved, 0, "flows moved to other upstreams")
+}
