Handle no packet after a pause before the copy was checked

Cause: a VM that woke from a freeze asked at once what had changed, but decided about the packets that waited in its socket, and those that came until the answer, by what was in force before. An answer or a neighbour's message that had waited through the pause even passed for fresh.

Change: path, keeper, peers and the ticker look at one pause detector. A read that is asked for interrupts every wait of the keeper and is a full one, since watches may be mute.

--- a/amaranthd/entry/daemon.go
+++ b/amaranthd/entry/daemon.go
@@ -24,8 +24,6 @@
 const (
 	tickEvery   clock.Millis = 50
 	forgetEvery              = 5 * clock.Second
-	// pauseGap is the gap between ticks that means the process stood still.
-	pauseGap clock.Millis = 1000
 	// stopQuiet is how long no packet must come before a stopping daemon ends.
 	stopQuiet clock.Millis = 600
 	// stopLeast is how long a stopping daemon forwards at least: the fabric
@@ -44,6 +42,7 @@
 	path    *path
 	keeper  *keeper
 	peers   *peers
+	pauses  *pauses
 	pool    *rpc.Pool
 	server  *rpc.Server
 	observe *observers
@@ -94,7 +93,7 @@
 		func() *slog.Logger { return log.With(slog.String("vm", string(set.VM))) },
 		func() *teardown.List { return clean },
 		func() *observers { return &observers{opened: func(clock.Millis) {}, answered: func(clock.Millis) {}} },
-		provideEngine, provideKeeper, providePath, providePool, provideServer, providePeers, newDaemon,
+		providePauses, provideEngine, provideKeeper, providePath, providePool, provideServer, providePeers, newDaemon,
 	} {
 		if err = c.Provide(constructor); err != nil {
 			return nil, nil, err
@@ -114,18 +113,20 @@
 	return forward.New(set.VM, set.Domain, forward.WithPolicy(o.policy), forward.WithSeams(seams))
 }
 
-func provideKeeper(set *Settings, a *Adapter, o *options, engine *forward.Engine, log *slog.Logger) *keeper {
+func providePauses(o *options) *pauses { return newPauses(o.clk, time.Now) }
+
+func provideKeeper(set *Settings, a *Adapter, o *options, ps *pauses, engine *forward.Engine, log *slog.Logger) *keeper {
 	publish := func(c *catalog.Catalog) {
 		engine.SetCatalog(c)
 		event.Log(context.Background(), log, event.CatalogTaken, slog.Uint64("version", uint64(c.Config.Version)),
 			slog.Uint64("revision", uint64(c.Revision)), slog.Int("routes", len(c.Config.Routes)),
 			slog.Int("upstreams", c.Upstreams()), slog.Any("domainsOut", c.DomainsOut()))
 	}
-	return newKeeper(a, o.clk, log, set.HeartbeatMillis, publish)
+	return newKeeper(a, o.clk, ps, log, set.HeartbeatMillis, publish)
 }
 
-func providePath(ctx context.Context, set *Settings, a *Adapter, engine *forward.Engine, k *keeper, o *options, log *slog.Logger, clean *teardown.List) (*path, error) {
-	p, cleanup, err := newPath(ctx, set, a, engine, o.clk, requestLog{log: log, held: k.held, clk: o.clk})
+func providePath(ctx context.Context, set *Settings, a *Adapter, engine *forward.Engine, k *keeper, o *options, ps *pauses, log *slog.Logger, clean *teardown.List) (*path, error) {
+	p, cleanup, err := newPath(ctx, set, a, engine, o.clk, ps, requestLog{log: log, held: k.held, clk: o.clk})
 	if err == nil {
 		clean.Add(cleanup)
 	}
@@ -167,6 +168,7 @@
 	Path    *path
 	Keeper  *keeper
 	Peers   *peers
+	Pauses  *pauses
 	Pool    *rpc.Pool
 	Server  *rpc.Server
 	Observe *observers
@@ -175,10 +177,11 @@
 
 func newDaemon(ctx context.Context, p parts) (d *Daemon, err error) {
 	d = &Daemon{
-		set: *p.Set, clk: p.Options.clk, log: p.Log, engine: p.Engine, path: p.Path, keeper: p.Keeper, peers: p.Peers,
+		set: *p.Set, clk: p.Options.clk, log: p.Log, engine: p.Engine, path: p.Path, keeper: p.Keeper, peers: p.Peers, pauses: p.Pauses,
 		pool: p.Pool, server: p.Server, observe: p.Observe, started: p.Options.clk.Now(), linesDropped: p.Options.linesDropped,
 	}
 	p.Keeper.news = p.Peers.news
+	p.Pauses.noticed = d.paused
 	p.Server.Handle(methodStatus, d.serveStatus)
 	cleanup, err := d.serveReady(ctx, p.Set.Ready, p.Adapter.ReadyPath)
 	if err != nil {
@@ -250,8 +253,7 @@
 func (d *Daemon) tick(ctx context.Context, ends <-chan error) error {
 	ticker := time.NewTicker(tickEvery.Duration())
 	defer ticker.Stop()
-	last, forgot := d.clk.Now(), d.clk.Now()
-	wall := time.Now().Round(0)
+	forgot := d.clk.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -260,13 +262,9 @@
 			return err
 		case <-ticker.C:
 		}
-		now, wallNow := d.clk.Now(), time.Now().Round(0)
+		d.pauses.look()
+		now := d.clk.Now()
 		d.engine.Tick(now)
-		if gap := max(now-last, clock.Of(wallNow.Sub(wall))); gap > pauseGap {
-			event.Log(ctx, d.log, event.PauseDetected, slog.Int64("gapMillis", int64(gap)))
-			d.keeper.reread()
-		}
-		last, wall = now, wallNow
 		if now-forgot > forgetEvery {
 			forgot = now
 			d.keeper.forget()
@@ -274,6 +272,12 @@
 	}
 }
 
+// paused asks for a check of what was known before the process stood still.
+func (d *Daemon) paused(gap clock.Millis) {
+	event.Log(context.Background(), d.log, event.PauseDetected, slog.Int64("gapMillis", int64(gap)))
+	d.keeper.reread()
+}
+
 // stop goes on forwarding until the fabric sends no more packets.
 func (d *Daemon) stop(ctx context.Context) {
 	event.Log(ctx, d.log, event.DaemonLeaving)
--- a/amaranthd/entry/keeper.go
+++ b/amaranthd/entry/keeper.go
@@ -56,6 +56,7 @@
 type keeper struct {
 	source Source
 	clk    clock.Clock
+	pauses *pauses
 	log    *slog.Logger
 	// publish takes each new catalog.
 	publish func(c *catalog.Catalog)
@@ -69,7 +70,7 @@
 	builtAt   time.Time
 	buildTook time.Duration
 	buildDue  bool
-	// kicked tells that a read was asked for, interrupt ends a watch for it.
+	// kicked tells that a read was asked for, interrupt ends what waits for it.
 	kicked    bool
 	interrupt func()
 
@@ -81,9 +82,9 @@
 	failures  atomic.Int64
 }
 
-func newKeeper(a *Adapter, clk clock.Clock, log *slog.Logger, heartbeat clock.Millis, publish func(*catalog.Catalog)) *keeper {
+func newKeeper(a *Adapter, clk clock.Clock, ps *pauses, log *slog.Logger, heartbeat clock.Millis, publish func(*catalog.Catalog)) *keeper {
 	k := &keeper{
-		source: a.Source, clk: clk, log: log, publish: publish,
+		source: a.Source, clk: clk, pauses: ps, log: log, publish: publish,
 		replica: replica.New(),
 		news:    func(*replica.Update) {},
 	}
@@ -187,7 +188,7 @@
 	k.builder.Forget(now)
 }
 
-// reread asks for a read at once, in place of the watch under way.
+// reread asks for a read at once, in place of what the keeper waits for.
 func (k *keeper) reread() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -205,11 +206,31 @@
 	return kicked
 }
 
-// setInterrupt sets what ends the watch under way, nil if there is none.
+// isKicked reports whether a read was asked for and is not begun.
+func (k *keeper) isKicked() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.kicked
+}
+
+// setInterrupt sets what ends the present wait, nil if there is none. A read that
+// was asked for before ends it at once.
 func (k *keeper) setInterrupt(interrupt func()) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.interrupt = interrupt
+	if k.kicked && interrupt != nil {
+		interrupt()
+	}
+}
+
+// rest waits for d, or until a read is asked for or ctx ends.
+func (k *keeper) rest(ctx context.Context, d clock.Millis) {
+	bounded, cancel := context.WithTimeout(ctx, d.Duration())
+	defer cancel()
+	k.setInterrupt(cancel)
+	defer k.setInterrupt(nil)
+	<-bounded.Done()
 }
 
 // run follows the source, or waits until that is needed, until ctx ends.
@@ -221,14 +242,15 @@
 		switch {
 		case err == nil:
 			retry = firstRetry
-		case errors.Is(err, ErrForgotten), errors.Is(err, errKicked):
+		case errors.Is(err, errKicked):
+		case errors.Is(err, ErrForgotten):
 			k.readAt = 0
 		default:
 			// A watch may have fallen silent while plain reads are answered.
 			k.readAt = 0
 			k.failed(ctx, err)
 			// A call that took long has waited enough.
-			sleep(ctx, max(1, retry-(k.clk.Now()-called)))
+			k.rest(ctx, max(1, retry-(k.clk.Now()-called)))
 			retry = min(2*retry, lastRetry)
 		}
 	}
@@ -241,14 +263,14 @@
 	reader := k.rank.Load() == 0
 	old := now-clock.Millis(k.confirmed.Load()) >= k.old()
 	switch {
-	case (reader || old) && now >= k.readAt:
+	case k.takeKick(), (reader || old) && now >= k.readAt:
 		return k.read(ctx)
 	case reader:
 		return k.watch(ctx, watchWait)
-	case old, k.takeKick():
+	case old:
 		return k.watch(ctx, checkWait)
 	}
-	sleep(ctx, ageCheck)
+	k.rest(ctx, ageCheck)
 	return nil
 }
 
@@ -263,14 +285,14 @@
 	bounded, cancel := context.WithTimeout(ctx, (watchWait + answerWait).Duration())
 	defer cancel()
 	k.calls.Add(1)
-	asked := k.clk.Now()
+	asked, count := k.clk.Now(), k.pauses.look()
 	u, err := k.source.Read(bounded)
 	if err != nil {
 		return err
 	}
 	k.readAt = k.clk.Now() + rereadEvery
 	k.apply(u, "source")
-	k.succeeded(ctx, asked)
+	k.succeeded(ctx, asked, count)
 	return nil
 }
 
@@ -281,23 +303,30 @@
 	k.setInterrupt(cancel)
 	defer k.setInterrupt(nil)
 	k.calls.Add(1)
+	asked, count := k.clk.Now(), k.pauses.look()
 	u, err := k.source.Watch(bounded, k.held().Complete, wait)
 	if err != nil {
-		if k.takeKick() {
+		if k.isKicked() {
 			return errKicked
 		}
 		return err
 	}
 	k.apply(u, "source")
-	k.succeeded(ctx, k.clk.Now())
+	if k.pauses.look() == count {
+		asked = k.clk.Now() // else the answer may have waited for this VM
+	}
+	k.succeeded(ctx, asked, count)
 	if len(u.Items) > 0 && wait > watchGap {
-		sleep(ctx, watchGap)
+		k.rest(ctx, watchGap)
 	}
 	return nil
 }
 
-func (k *keeper) succeeded(ctx context.Context, at clock.Millis) {
+// succeeded takes note of an answer of the source that was true at the given
+// time, and was asked for after the given number of pauses.
+func (k *keeper) succeeded(ctx context.Context, at clock.Millis, count int) {
 	k.confirm(at)
+	k.pauses.check(count)
 	if k.down.CompareAndSwap(true, false) {
 		event.Log(ctx, k.log, event.PlatformBack)
 	}
--- a/amaranthd/entry/keeper_test.go
+++ b/amaranthd/entry/keeper_test.go
@@ -57,7 +57,8 @@
 		_, err = fmt.Sscan(string(item.Value), &c.Config.Version)
 		return c, err
 	}}
-	return newKeeper(a, clock.System(), slog.New(slog.DiscardHandler), 500, published)
+	clk := clock.System()
+	return newKeeper(a, clk, newPauses(clk, time.Now), slog.New(slog.DiscardHandler), 500, published)
 }
 
 func version(rev replica.Revision) replica.Item {
--- a/amaranthd/entry/path.go
+++ b/amaranthd/entry/path.go
@@ -28,6 +28,7 @@
 	codec  Codec
 	engine *forward.Engine
 	clk    clock.Clock
+	pauses *pauses
 	// requests logs what is decided about requests.
 	requests requestLog
 	// replyPort is the port at which callers take packets.
@@ -42,7 +43,7 @@
 	lastPacket                  atomic.Int64 // clock.Millis
 }
 
-func newPath(ctx context.Context, set *Settings, a *Adapter, engine *forward.Engine, clk clock.Clock, requests requestLog) (p *path, cleanup func(), err error) {
+func newPath(ctx context.Context, set *Settings, a *Adapter, engine *forward.Engine, clk clock.Clock, ps *pauses, requests requestLog) (p *path, cleanup func(), err error) {
 	defer func() { err = eris.Wrapf(err, "entry: open packets address %s", set.Packets) }()
 	var lc net.ListenConfig
 	pc, err := lc.ListenPacket(ctx, "udp4", set.Packets.String())
@@ -51,7 +52,7 @@
 	}
 	conn := pc.(*net.UDPConn)
 	_ = conn.SetReadBuffer(socketBufferBytes)
-	p = &path{conn: conn, batch: ipv4.NewPacketConn(conn), codec: a.Codec, engine: engine, clk: clk, replyPort: set.Packets.Port(), requests: requests}
+	p = &path{conn: conn, batch: ipv4.NewPacketConn(conn), codec: a.Codec, engine: engine, clk: clk, pauses: ps, replyPort: set.Packets.Port(), requests: requests}
 	p.makeBuffers()
 	return p, func() { _ = conn.Close() }, nil
 }
@@ -80,6 +81,7 @@
 			}
 			return eris.Wrap(err, "entry: read packets")
 		}
+		p.pauses.wait(ctx)
 		now := p.clk.Now()
 		p.received.Add(int64(n))
 		p.lastPacket.Store(int64(now))
--- a/amaranthd/entry/peers.go
+++ b/amaranthd/entry/peers.go
@@ -106,6 +106,8 @@
 		p.invalid.Add(1)
 		return
 	}
+	p.keeper.pauses.look()
+	msg.Age += p.keeper.pauses.unchecked() // it may have waited for this VM
 	held := p.keeper.held()
 	p.mu.Lock()
 	out := p.group.Receive(p.clk.Now(), &msg, held)
