Refuse an upstream's address in two services, name lines in problems

Cause: amaranthctl check took one address in two services, so that requests of one could reach the other, and named problems by path alone.

Change: an upstream's address serves one service. Problems name the line of their field and of what they clash with.

Figures: TestParse/address_in_two_services was accepted before; TestProblemsNameTheirLine.

--- a/amaranthctl/files.go
+++ b/amaranthctl/files.go
@@ -48,7 +48,7 @@
 		return printProblems(w, problems)
 	}
 	for _, p := range problems {
-		fmt.Fprintf(w, "%s: %s: %s\n", path, p.Path, p.Reason)
+		fmt.Fprintf(w, "%s:%d: %s: %s\n", path, p.Line, p.Path, p.Reason)
 	}
 	if len(problems) > 0 {
 		return errInvalid
--- a/fleet/configfile/parse.go
+++ b/fleet/configfile/parse.go
@@ -27,7 +27,10 @@
 
 // Problem is one thing that is wrong with a file.
 type Problem struct {
-	Path   string `json:"path"`
+	// Path names the field, "$" for the whole file.
+	Path string `json:"path"`
+	// Line is where the field is in the file, counted from 1.
+	Line   int    `json:"line"`
 	Reason string `json:"reason"`
 }
 
@@ -38,7 +41,7 @@
 func (p Problems) Error() string {
 	lines := make([]string, len(p))
 	for i := range p {
-		lines[i] = fmt.Sprintf("config: %s: %s", p[i].Path, p[i].Reason)
+		lines[i] = fmt.Sprintf("config: line %d: %s: %s", p[i].Line, p[i].Path, p[i].Reason)
 	}
 	return strings.Join(lines, "\n")
 }
@@ -60,14 +63,27 @@
 func Parse(data []byte) (f *config.File, err error) {
 	if len(data) > MaxFileBytes {
 		reason := fmt.Sprintf("file has %d bytes, the platform holds %d at most", len(data), MaxFileBytes)
-		return nil, Problems{{Path: "$", Reason: reason}}
+		return nil, Problems{{Path: "$", Line: 1, Reason: reason}}
 	}
-	if problems := checkDuplicateKeys(data); len(problems) > 0 {
+	places := locate(data)
+	if len(places.twice) > 0 {
+		return nil, places.twice
+	}
+	f, problems := decode(data, places)
+	if len(problems) > 0 {
+		for i := range problems {
+			problems[i].Line = max(problems[i].Line, places.line(problems[i].Path))
+		}
 		return nil, problems
 	}
+	return f, nil
+}
+
+// decode decodes and validates a file in which no field occurs twice.
+func decode(data []byte, places *places) (f *config.File, problems Problems) {
 	doc, err := jsonschema.UnmarshalJSON(bytes.NewReader(data))
 	if err != nil {
-		return nil, Problems{{Path: "$", Reason: syntaxReason(data, err)}}
+		return nil, Problems{syntaxProblem(data, err)}
 	}
 	if err := compileSchema().Validate(doc); err != nil {
 		return nil, schemaProblems(err)
@@ -76,71 +92,15 @@
 	if err := json.Unmarshal(data, f); err != nil {
 		return nil, Problems{{Path: "$", Reason: err.Error()}}
 	}
-	if problems := validate(f); len(problems) > 0 {
-		return nil, problems
-	}
-	return f, nil
+	return f, validate(f, places)
 }
 
-func syntaxReason(data []byte, err error) string {
+func syntaxProblem(data []byte, err error) Problem {
 	var se *json.SyntaxError
 	if !errors.As(err, &se) {
-		return err.Error()
-	}
-	line := 1 + bytes.Count(data[:min(int(se.Offset), len(data))], []byte("\n"))
-	return fmt.Sprintf("line %d: %v", line, err)
-}
-
-// checkDuplicateKeys reports object keys that occur twice, which the decoder
-// would silently merge.
-func checkDuplicateKeys(data []byte) (p Problems) {
-	dec := json.NewDecoder(bytes.NewReader(data))
-	walkValue(dec, "$", &p)
-	return p
-}
-
-func walkValue(dec *json.Decoder, path string, p *Problems) bool {
-	tok, err := dec.Token()
-	if err != nil {
-		return false
-	}
-	switch tok {
-	case json.Delim('{'):
-		return walkObject(dec, path, p)
-	case json.Delim('['):
-		return walkArray(dec, path, p)
-	}
-	return true
-}
-
-func walkObject(dec *json.Decoder, path string, p *Problems) bool {
-	seen := make(map[string]bool)
-	for dec.More() {
-		tok, err := dec.Token()
-		if err != nil {
-			return false
-		}
-		key, _ := tok.(string)
-		if seen[key] {
-			*p = append(*p, Problem{Path: path + "." + key, Reason: "field occurs twice"})
-		}
-		seen[key] = true
-		if !walkValue(dec, path+"."+key, p) {
-			return false
-		}
-	}
-	_, err := dec.Token()
-	return err == nil
-}
-
-func walkArray(dec *json.Decoder, path string, p *Problems) bool {
-	for i := 0; dec.More(); i++ {
-		if !walkValue(dec, fmt.Sprintf("%s[%d]", path, i), p) {
-			return false
-		}
+		return Problem{Path: "$", Line: 1, Reason: err.Error()}
 	}
-	_, err := dec.Token()
-	return err == nil
+	return Problem{Path: "$", Line: lineAt(data, se.Offset), Reason: err.Error()}
 }
 
 func schemaProblems(err error) (p Problems) {
--- a/fleet/configfile/parse_test.go
+++ b/fleet/configfile/parse_test.go
@@ -38,6 +38,7 @@
 		{"bad state", `"state": "in"`, `"state": "half"`, "$.domains[0].state", "one of"},
 		{"address is no address", `"address": "10.64.2.10:6081"`, `"address": "10.64.2.10"`, "$.services[0].upstreams[0].address", "not an IP address and port"},
 		{"address twice", `"10.65.2.11:6081"`, `"10.64.2.10:6081"`, "$.services[0].upstreams[1].address", "already used"},
+		{"address in two services", `"10.64.2.24:6081"`, `"10.64.2.10:6081"`, "$.services[1].upstreams[0].address", "already used at $.services[0].upstreams[0].address (line "},
 		{"service addresses overlap", `"198.51.100.2"`, `"198.51.100.1"`, "$.services[1].address", "already used"},
 		{"VNI twice", `"vni": 102`, `"vni": 101`, "$.services[1].vni", "already used"},
 		{"upstream twice", `"name": "atelier-2"`, `"name": "atelier-1"`, "$.services[0].upstreams[1].name", "already defined"},
@@ -95,3 +96,13 @@
 	}
 	// Output: modify domain a State: in to out
 }
+
+func TestProblemsNameTheirLine(t *testing.T) {
+	text := example(t, "workshop")
+	line := func(part string) int { return 1 + strings.Count(text[:strings.Index(text, part)], "\n") }
+	first, second := line(`"10.64.2.10:6081"`), line(`"10.64.2.24:6081"`)
+	_, err := configfile.Parse([]byte(strings.Replace(text, "10.64.2.24:6081", "10.64.2.10:6081", 1)))
+	assert.Error(t, err, fmt.Sprintf("config: line %d: $.services[1].upstreams[0].address: address 10.64.2.10:6081 is already used at $.services[0].upstreams[0].address (line %d)", second, first))
+	_, err = configfile.Parse([]byte(strings.Replace(text, `"10.64.2.24:6081"`, `"10.64.2.24:6081",,`, 1)))
+	assert.ErrorContains(t, err, fmt.Sprintf("config: line %d: $", second))
+}
--- a/fleet/configfile/validate.go
+++ b/fleet/configfile/validate.go
@@ -10,30 +10,26 @@
 // validator collects the problems that a schema cannot express.
 type validator struct {
 	f        *config.File
+	places   *places
 	problems Problems
 
 	domains   map[config.DomainName]string
 	services  map[config.ServiceName]string
 	vnis      map[config.VNI]string
 	addresses map[netip.Addr]string
-	endpoints map[string]endpointUse
+	endpoints map[netip.AddrPort]string
 	ids       map[config.UpstreamID]string
 }
 
-// endpointUse tells who uses an upstream address and for which network.
-type endpointUse struct {
-	path string
-	vni  config.VNI
-}
-
-func validate(f *config.File) Problems {
+func validate(f *config.File, places *places) Problems {
 	v := &validator{
 		f:         f,
+		places:    places,
 		domains:   make(map[config.DomainName]string),
 		services:  make(map[config.ServiceName]string),
 		vnis:      make(map[config.VNI]string),
 		addresses: make(map[netip.Addr]string),
-		endpoints: make(map[string]endpointUse),
+		endpoints: make(map[netip.AddrPort]string),
 		ids:       make(map[config.UpstreamID]string),
 	}
 	for i := range f.Domains {
@@ -60,7 +56,7 @@
 
 func (v *validator) domain(path string, d *config.Domain) {
 	if first, dup := v.domains[d.Name]; dup {
-		v.add(path+".name", "failure domain %q is already defined at %s", d.Name, first)
+		v.add(path+".name", "failure domain %q is already defined at %s", d.Name, v.places.name(first))
 		return
 	}
 	v.domains[d.Name] = path
@@ -68,17 +64,17 @@
 
 func (v *validator) service(path string, s *config.Service) {
 	if first, dup := v.services[s.Name]; dup {
-		v.add(path+".name", "service %q is already defined at %s", s.Name, first)
+		v.add(path+".name", "service %q is already defined at %s", s.Name, v.places.name(first))
 	}
 	v.services[s.Name] = path
 	if first, dup := v.vnis[s.VNI]; dup {
-		v.add(path+".vni", "config.VNI %d is already used at %s", s.VNI, first)
+		v.add(path+".vni", "VNI %d is already used at %s", s.VNI, v.places.name(first))
 	}
 	v.vnis[s.VNI] = path
 	if !s.Address.IsValid() {
 		v.add(path+".address", "address is missing")
 	} else if first, dup := v.addresses[s.Address]; dup {
-		v.add(path+".address", "address %s is already used at %s", s.Address, first)
+		v.add(path+".address", "address %s is already used at %s", s.Address, v.places.name(first))
 	}
 	v.addresses[s.Address] = path
 	v.warmUp(path+".warmUp", s.WarmUp)
@@ -116,18 +112,18 @@
 
 func (v *validator) upstream(path string, s *config.Service, u *config.Upstream, names map[config.UpstreamName]string) {
 	if first, dup := names[u.Name]; dup {
-		v.add(path+".name", "upstream %q is already defined at %s", u.Name, first)
+		v.add(path+".name", "upstream %q is already defined at %s", u.Name, v.places.name(first))
 	}
 	names[u.Name] = path
 	if _, known := v.domains[u.Domain]; !known {
 		v.add(path+".domain", "failure domain %q does not exist", u.Domain)
 	}
-	v.endpoint(path+".address", u.Address, s.VNI)
+	v.endpoint(path+".address", u.Address)
 	if s.Carries(config.KindRequest) {
 		if u.HTTPAddress == "" {
 			v.add(path+".httpAddress", "an upstream of a request service needs this field")
 		} else {
-			v.endpoint(path+".httpAddress", u.HTTPAddress, s.VNI)
+			v.endpoint(path+".httpAddress", u.HTTPAddress)
 		}
 		if u.Slots == 0 {
 			v.add(path+".slots", "an upstream of a request service needs at least one slot")
@@ -135,14 +131,14 @@
 	}
 	id := s.ID(u)
 	if first, dup := v.ids[id]; dup && names[u.Name] == path {
-		v.add(path+".name", "identifier collides with %s, choose another name", first)
+		v.add(path+".name", "identifier collides with %s, choose another name", v.places.name(first))
 	}
 	v.ids[id] = path
 }
 
-// endpoint checks an address. Two services may share an upstream VM's tunnel
-// address because the config.VNI separates them; one service may not use it twice.
-func (v *validator) endpoint(path, address string, vni config.VNI) {
+// endpoint checks an address, which only one upstream of one service may use: a
+// request that reaches it names no service.
+func (v *validator) endpoint(path, address string) {
 	ap, err := netip.ParseAddrPort(address)
 	if err != nil {
 		v.add(path, "%q is not an IP address and port", address)
@@ -151,10 +147,9 @@
 	if ap.Port() == 0 {
 		v.add(path, "port of %q is zero", address)
 	}
-	key := fmt.Sprintf("%d|%s", vni, ap)
-	if first, dup := v.endpoints[key]; dup {
-		v.add(path, "address %s is already used at %s", ap, first.path)
+	if first, dup := v.endpoints[ap]; dup {
+		v.add(path, "address %s is already used at %s", ap, v.places.name(first))
 		return
 	}
-	v.endpoints[key] = endpointUse{path: path, vni: vni}
+	v.endpoints[ap] = path
 }
