--- a/standin/flowend/upstream.go
+++ b/standin/flowend/upstream.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/binary"
+	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,8 +22,9 @@
 
 	mu      sync.Mutex
 	flows   map[netip.AddrPort]uint32 // caller's end to the upstream's sequence number
+	ended   map[netip.AddrPort]bool   // flows that the caller ended
 	opened  []time.Time
-	strange int
+	strange []string
 	dark    bool
 }
 
@@ -34,7 +37,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	u = &Upstream{conn: pc.(*net.UDPConn), name: name, word: word, replyPort: replyPort, flows: make(map[netip.AddrPort]uint32)}
+	u = &Upstream{conn: pc.(*net.UDPConn), name: name, word: word, replyPort: replyPort, flows: make(map[netip.AddrPort]uint32), ended: make(map[netip.AddrPort]bool)}
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
@@ -65,12 +68,12 @@
 	return n
 }
 
-// Strange returns the number of packets that were changed or that belong to no
-// flow of the upstream.
-func (u *Upstream) Strange() int {
+// Strange describes the packets that were changed or that belong to no flow of
+// the upstream.
+func (u *Upstream) Strange() []string {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.strange
+	return slices.Clone(u.strange)
 }
 
 func (u *Upstream) read() {
@@ -98,7 +101,7 @@
 		return
 	}
 	if !intact {
-		u.strange++
+		u.strange = append(u.strange, "a changed packet")
 		return
 	}
 	seq, known := u.flows[p.From]
@@ -107,14 +110,21 @@
 		if !known {
 			seq = 5000
 			u.flows[p.From] = seq
+			delete(u.ended, p.From)
 			u.opened = append(u.opened, time.Now())
 		}
 		u.send(p, Opening|Ack, seq-1, p.Seq+1, nil)
+	case u.ended[p.From] && len(p.Data) == 0:
+		// VMs may overtake each other, so the flow's last packets may come late.
+		if p.Flags&Closing != 0 {
+			u.send(p, Ack, p.Ack, p.Seq+1, nil)
+		}
 	case !known:
-		u.strange++
+		u.strange = append(u.strange, fmt.Sprintf("a packet with flags %d and %d bytes of %s, which has no flow", p.Flags, len(p.Data), p.From))
 		u.send(p, Reset, p.Ack, 0, nil)
 	case p.Flags&(Closing|Reset) != 0:
 		delete(u.flows, p.From)
+		u.ended[p.From] = true
 	case len(p.Data) > 0:
 		answer := append([]byte(u.word+":"), p.Data...)
 		u.send(p, Ack, p.Ack, p.Seq+uint32(len(p.Data)), answer)
