Let packets wait for the first copy, open their socket first

The socket was opened after all else was built.

Change: the socket of the packets is opened before the rest, and the path waits at the start as after a pause, 0.3 s at most, until the first copy came from the source or another VM. Log lines tell no age of a copy that nobody confirmed.

--- a/amaranthd/entry/daemon.go
+++ b/amaranthd/entry/daemon.go
@@ -83,10 +83,17 @@
 	for _, opt := range opts {
 		opt(&o)
 	}
+	// Packets wait in the socket while the rest is built.
+	conn, err := openPackets(ctx, set.Packets)
+	if err != nil {
+		return nil, nil, err
+	}
 	clean := &teardown.List{}
+	clean.Add(func() { _ = conn.Close() })
 	c := dig.New()
 	for _, constructor := range []any{
 		func() context.Context { return ctx },
+		func() *net.UDPConn { return conn },
 		func() *Settings { return &set },
 		func() *Adapter { return &a },
 		func() *options { return &o },
@@ -96,6 +103,7 @@
 		providePauses, provideEngine, provideKeeper, providePath, providePool, provideServer, providePeers, newDaemon,
 	} {
 		if err = c.Provide(constructor); err != nil {
+			clean.Run()
 			return nil, nil, err
 		}
 	}
@@ -118,6 +126,7 @@
 func provideKeeper(set *Settings, a *Adapter, o *options, ps *pauses, engine *forward.Engine, log *slog.Logger) *keeper {
 	publish := func(c *catalog.Catalog) {
 		engine.SetCatalog(c)
+		ps.check(0) // the first copy may come from another VM
 		event.Log(context.Background(), log, event.CatalogTaken, slog.Uint64("version", uint64(c.Config.Version)),
 			slog.Uint64("revision", uint64(c.Revision)), slog.Int("routes", len(c.Config.Routes)),
 			slog.Int("upstreams", c.Upstreams()), slog.Any("domainsOut", c.DomainsOut()))
@@ -125,12 +134,8 @@
 	return newKeeper(a, o.clk, ps, log, set.HeartbeatMillis, publish)
 }
 
-func providePath(ctx context.Context, set *Settings, a *Adapter, engine *forward.Engine, k *keeper, o *options, ps *pauses, log *slog.Logger, clean *teardown.List) (*path, error) {
-	p, cleanup, err := newPath(ctx, set, a, engine, o.clk, ps, requestLog{log: log, held: k.held, clk: o.clk})
-	if err == nil {
-		clean.Add(cleanup)
-	}
-	return p, err
+func providePath(conn *net.UDPConn, a *Adapter, engine *forward.Engine, k *keeper, o *options, ps *pauses, log *slog.Logger) *path {
+	return newPath(conn, a, engine, o.clk, ps, requestLog{log: log, held: k.held, clk: o.clk})
 }
 
 func providePool(set *Settings, clean *teardown.List) *rpc.Pool {
--- a/amaranthd/entry/decisions.go
+++ b/amaranthd/entry/decisions.go
@@ -58,7 +58,10 @@
 	}
 	held := l.held()
 	attrs := append(flowOf(p), slog.String("request", request), slog.String("reason", d.Reason.String()),
-		slog.Uint64("revision", uint64(held.Complete)), slog.Int64("ageMillis", int64(l.clk.Now()-held.ConfirmedAt)))
+		slog.Uint64("revision", uint64(held.Complete)))
+	if held.ConfirmedAt != 0 {
+		attrs = append(attrs, slog.Int64("ageMillis", int64(l.clk.Now()-held.ConfirmedAt)))
+	}
 	if u != nil {
 		attrs = append(attrs, slog.String("upstream", string(u.ID)), slog.Bool("published", !u.Removed))
 	}
--- a/amaranthd/entry/path.go
+++ b/amaranthd/entry/path.go
@@ -43,18 +43,25 @@
 	lastPacket                  atomic.Int64 // clock.Millis
 }
 
-func newPath(ctx context.Context, set *Settings, a *Adapter, engine *forward.Engine, clk clock.Clock, ps *pauses, requests requestLog) (p *path, cleanup func(), err error) {
-	defer func() { err = eris.Wrapf(err, "entry: open packets address %s", set.Packets) }()
+// openPackets opens the socket of the packets. What comes from then on waits until
+// the path runs.
+func openPackets(ctx context.Context, address netip.AddrPort) (conn *net.UDPConn, err error) {
+	defer func() { err = eris.Wrapf(err, "entry: open packets address %s", address) }()
 	var lc net.ListenConfig
-	pc, err := lc.ListenPacket(ctx, "udp4", set.Packets.String())
+	pc, err := lc.ListenPacket(ctx, "udp4", address.String())
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
-	conn := pc.(*net.UDPConn)
+	conn = pc.(*net.UDPConn)
 	_ = conn.SetReadBuffer(socketBufferBytes)
-	p = &path{conn: conn, batch: ipv4.NewPacketConn(conn), codec: a.Codec, engine: engine, clk: clk, pauses: ps, replyPort: set.Packets.Port(), requests: requests}
+	return conn, nil
+}
+
+func newPath(conn *net.UDPConn, a *Adapter, engine *forward.Engine, clk clock.Clock, ps *pauses, requests requestLog) *path {
+	port := conn.LocalAddr().(*net.UDPAddr).AddrPort().Port()
+	p := &path{conn: conn, batch: ipv4.NewPacketConn(conn), codec: a.Codec, engine: engine, clk: clk, pauses: ps, replyPort: port, requests: requests}
 	p.makeBuffers()
-	return p, func() { _ = conn.Close() }, nil
+	return p
 }
 
 func (p *path) makeBuffers() {
@@ -73,6 +80,7 @@
 
 // run forwards packets until the socket is closed.
 func (p *path) run(ctx context.Context) error {
+	p.pauses.wait(ctx)
 	for {
 		n, err := p.batch.ReadBatch(p.in, 0)
 		if err != nil {
--- a/amaranthd/entry/pauses.go
+++ b/amaranthd/entry/pauses.go
@@ -12,14 +12,16 @@
 	// pauseGap is the time without a look at the clock that means that the
 	// process stood still.
 	pauseGap clock.Millis = 1000
-	// checkWithin bounds the wait for a check after a pause. It exceeds a slow
-	// answer of the source. Without an answer the VM goes on with what it knows.
+	// checkWithin bounds the wait for a check at the start and after a pause. It
+	// exceeds a slow answer of the source. Without an answer the VM goes on with
+	// what it knows.
 	checkWithin clock.Millis = 300
 )
 
 // pauses notices that the process stood still, by the steady clock or, since
 // that does not count while a VM is suspended, by the time of day. Until the copy
-// of what is published is checked, it may be as old as the pause was long.
+// of what is published is checked, it may be as old as the pause was long. At the
+// start there is no copy, which counts as unchecked.
 type pauses struct {
 	clk  clock.Clock
 	wall func() time.Time
@@ -30,14 +32,16 @@
 	last     clock.Millis
 	lastWall time.Time
 	count    int
-	gap      clock.Millis  // of the last pause, 0 once the copy was checked
+	open     bool          // the copy is unchecked
+	gap      clock.Millis  // sum of the pauses since the last check
 	checked  chan struct{} // closed once the copy was checked
 }
 
 func newPauses(clk clock.Clock, wall func() time.Time) *pauses {
-	p := &pauses{clk: clk, wall: wall, noticed: func(clock.Millis) {}, last: clk.Now(), lastWall: wall(), checked: make(chan struct{})}
-	close(p.checked)
-	return p
+	return &pauses{
+		clk: clk, wall: wall, noticed: func(clock.Millis) {}, last: clk.Now(), lastWall: wall(),
+		open: true, checked: make(chan struct{}),
+	}
 }
 
 // look notices a pause since the last look, and returns how many there were so
@@ -50,10 +54,10 @@
 	paused := gap > pauseGap
 	if paused {
 		p.count++
-		if p.gap == 0 {
-			p.checked = make(chan struct{})
-		}
 		p.gap += gap
+		if !p.open {
+			p.open, p.checked = true, make(chan struct{})
+		}
 	}
 	count = p.count
 	p.mu.Unlock()
@@ -63,15 +67,15 @@
 	return count
 }
 
-// check takes note that the copy was read from the source after the given
-// number of pauses.
+// check takes note that the copy was read from the source, or from another VM at
+// the start, after the given number of pauses.
 func (p *pauses) check(count int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if count != p.count || p.gap == 0 {
+	if count != p.count || !p.open {
 		return
 	}
-	p.gap = 0
+	p.open, p.gap = false, 0
 	close(p.checked)
 }
 
@@ -83,7 +87,7 @@
 	return p.gap
 }
 
-// wait looks, and waits after a pause until the copy was checked, or until that
+// wait looks, and waits at the start and after a pause until the copy was checked, or until that
 // takes too long.
 func (p *pauses) wait(ctx context.Context) {
 	count := p.look()
--- a/amaranthd/entry/pauses_test.go
+++ b/amaranthd/entry/pauses_test.go
@@ -27,6 +27,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			manual, wall := clock.NewManual(1000), time.UnixMilli(1000)
 			p := newPauses(manual.Clock(), func() time.Time { return wall })
+			p.check(0)
 			manual.Advance(test.steady)
 			wall = wall.Add(test.wall.Duration())
 			assert.Equal(t, p.look(), test.want)
@@ -40,6 +41,7 @@
 func TestWaitEndsWithACheck(t *testing.T) {
 	manual := clock.NewManual(1000)
 	p := newPauses(manual.Clock(), time.Now)
+	p.check(0)
 	before := p.look()
 	manual.Advance(5000)
 	after := p.look()
@@ -58,15 +60,17 @@
 	assert.Equal(t, p.unchecked(), clock.Millis(0))
 }
 
-// TestWaitIsBounded waits in vain, once.
+// TestWaitIsBounded waits in vain at the start and after a pause, once each.
 func TestWaitIsBounded(t *testing.T) {
 	manual := clock.NewManual(1000)
 	p := newPauses(manual.Clock(), time.Now)
-	manual.Advance(5000)
-	begun := time.Now()
-	p.wait(context.Background())
-	assert.Assert(t, time.Since(begun) >= checkWithin.Duration())
-	begun = time.Now()
-	p.wait(context.Background())
-	assert.Assert(t, time.Since(begun) < checkWithin.Duration())
+	for range 2 {
+		begun := time.Now()
+		p.wait(context.Background())
+		assert.Assert(t, time.Since(begun) >= checkWithin.Duration())
+		begun = time.Now()
+		p.wait(context.Background())
+		assert.Assert(t, time.Since(begun) < checkWithin.Duration())
+		manual.Advance(5000)
+	}
 }
