Begin the guard after a pause and forget earlier answers in one step

Cause: when a daemon noticed that it had stood still, it began to drop packets first and forgot only afterwards that another VM had answered a probe before the pause. A message handled between the two ended the guard at once: opening packets that had waited in the socket were placed, though their callers had sent them again and other VMs had placed them. TestFlows/pause broke 8 of 1547 flows this way beside load: the log has pauseDetected at 06.899241 and pauseOver at 06.899548, and flows opened during the pause moved 8 to 41 ms later.

Change: both happen under the same lock, before anything else.

--- a/amaranthd/daemon/control.go
+++ b/amaranthd/daemon/control.go
@@ -160,14 +160,16 @@
 func (c *Control) checkPause(ctx context.Context, now clock.Millis) {
 	gap := now - clock.Millis(c.lastTick.Load())
 	if gap > c.set.Timers.PauseMillis {
-		c.resyncUntil.Store(int64(now + c.set.Timers.ResyncMillis))
-		c.engine.Woke(now)
-		event.Log(ctx, c.log, event.PauseDetected, slog.Int64("gapMillis", int64(gap)))
+		// At once, so that an answer from before the pause, which may be handled
+		// meanwhile, does not end the guard.
 		c.mu.Lock()
 		c.heardAt, c.wokeAt, c.told = 0, now, false
 		c.wokeSeq = c.list.LastProbe()
+		c.resyncUntil.Store(int64(now + c.set.Timers.ResyncMillis))
 		sends := c.list.Announce(now)
 		c.mu.Unlock()
+		c.engine.Woke(now)
+		event.Log(ctx, c.log, event.PauseDetected, slog.Int64("gapMillis", int64(gap)))
 		c.sendProbes(sends)
 	}
 	c.lastTick.Store(int64(now))
