Say in the scenarios which VM lacks a configuration

Cause: a run with ten scenarios at a time ended with 'not in force everywhere' and did not tell where. Change: the harness names the VM, its version and the error.

--- a/amaranthd/scenario/harness_test.go
+++ b/amaranthd/scenario/harness_test.go
@@ -252,12 +252,19 @@
 
 func (w *world) inForce(except *site.VM) time.Duration {
 	w.t.Helper()
+	var last string
+	defer func() {
+		if w.t.Failed() {
+			w.t.Logf("not in force: %s", last)
+		}
+	}()
 	return w.eventually(5*time.Second, "the configuration in force everywhere", func() bool {
 		for _, v := range w.VMs {
 			if v.Process == nil || v == except {
 				continue
 			}
 			if st, err := w.status(v); err != nil || st.Version != w.Config.Version {
+				last = fmt.Sprintf("%s: version %d instead of %d, %v", v.ID, st.Version, w.Config.Version, err)
 				return false
 			}
 		}
