--- a/amaranthctl/explain.go
+++ b/amaranthctl/explain.go
@@ -75,7 +75,7 @@
 			if cmd.Args().Len() == 0 {
 				return errors.New("explain takes the identifier of a request")
 			}
-			lines, err := readLogs(cmd.Args().Tail(), os.Stdin)
+			lines, err := readLogs(cmd.Args().Tail(), cmd.Root().Reader)
 			if err != nil {
 				return err
 			}
@@ -83,7 +83,7 @@
 			if err != nil {
 				return err
 			}
-			return e.print(os.Stdout, cmd.Bool("json"))
+			return e.print(cmd.Root().Writer, cmd.Bool("json"))
 		},
 	}
 }
--- a/amaranthctl/main.go
+++ b/amaranthctl/main.go
@@ -19,8 +19,11 @@
 
 func command() *cli.Command {
 	return &cli.Command{
-		Name:     "amaranthctl",
-		Usage:    "check configuration files and look at daemons",
-		Commands: []*cli.Command{checkCommand(), diffCommand(), explainCommand(), statusCommand()},
+		Name:  "amaranthctl",
+		Usage: "check configuration files and look at daemons",
+		Description: "Exit status: 0 if all went well, 1 if a file is not acceptable, a daemon does not\n" +
+			"answer, a request is not found or the command line is wrong.",
+		EnableShellCompletion: true,
+		Commands:              []*cli.Command{checkCommand(), diffCommand(), explainCommand(), statusCommand()},
 	}
 }
--- a/amaranthctl/status.go
+++ b/amaranthctl/status.go
@@ -63,9 +63,26 @@
 	}
 }
 
-// status asks the daemons at the addresses and prints what they tell.
+// status asks the daemons at the addresses and prints what they tell. It fails if
+// one of them does not answer.
 func status(ctx context.Context, w io.Writer, addresses []string, all, asJSON bool) error {
-	var list []vmStatus
+	list, silent := askAll(ctx, addresses, all)
+	printList := printTable
+	if asJSON {
+		printList = printJSON
+	}
+	if err := printList(w, list); err != nil {
+		return err
+	}
+	if silent > 0 {
+		return fmt.Errorf("status: %d of %d daemons did not answer", silent, len(list))
+	}
+	return nil
+}
+
+// askAll asks the daemons at the addresses and, if all is set, those that they
+// see. It counts those that do not answer.
+func askAll(ctx context.Context, addresses []string, all bool) (list []vmStatus, silent int) {
 	seen := make(map[string]bool)
 	for len(addresses) > 0 {
 		address := addresses[0]
@@ -76,16 +93,16 @@
 		seen[address] = true
 		st := ask(ctx, address)
 		list = append(list, st)
+		if !st.reported {
+			silent++
+		}
 		if all {
 			for _, p := range st.Peers {
 				addresses = append(addresses, p.RPC)
 			}
 		}
 	}
-	if asJSON {
-		return printJSON(w, list)
-	}
-	return printTable(w, list)
+	return list, silent
 }
 
 func ask(ctx context.Context, address string) (st vmStatus) {
