Print the users' measures in the demo under their names

Change: the report is a file of its own and begins with broken, imbalance and service (the share of requests answered while a failure domain leaves and returns); durations end in Millis; the imbalance of a random choice is printed beside.

--- a/amaranthd/demo/demo.go
+++ b/amaranthd/demo/demo.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
-	"math"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -24,24 +22,12 @@
 	Duration time.Duration
 }
 
-// Report is the result of a demo.
-type Report struct {
-	Seed         uint64        `json:"seed"`
-	Daemons      int           `json:"daemons"`
-	Flows        caller.Result `json:"flows"`
-	MaxOverMean  float64       `json:"maxOverMean"`
-	Variation    float64       `json:"coefficientOfVariation"`
-	LongestStall time.Duration `json:"longestStall"`
-	// Requests sums up what callers got and compares it with what the back
-	// ends ran. Lost counts requests without any answer.
-	Requests caller.RequestSummary `json:"requests"`
-	Lost     int                   `json:"lost"`
-}
-
 const (
 	network  = 9
 	flows    = 3000
 	openRate = 2500
+	// awayDomain leaves and returns.
+	awayDomain config.DomainName = "hue-c"
 )
 
 // Run starts the deployment, puts it under load through a drain and a failure
@@ -72,15 +58,13 @@
 	for _, p := range requests(s) {
 		reqs.Start(reqCtx, p)
 	}
-	if err = load(ctx, s, o.Duration, progress); err != nil {
+	left, err := load(ctx, s, o.Duration, progress)
+	if err != nil {
 		return err
 	}
 	stopRequests()
 	reqs.Wait()
-	r := report(s, o)
-	r.Requests = caller.Summarize(reqs.Results(), s.Runs())
-	r.Lost = r.Requests.ByKind[caller.Failed] + r.Requests.ByKind[caller.Wrong]
-	return write(w, o, r)
+	return write(w, o, report(s, o, reqs.Results(), left))
 }
 
 // startTime is the time until witnesses that just started trust new keys.
@@ -101,8 +85,9 @@
 	}
 }
 
-// load opens flows and changes the configuration in five equal steps.
-func load(ctx context.Context, s *site.Site, d time.Duration, progress func(string, ...any)) (err error) {
+// load opens flows and changes the configuration in equal steps. It returns when
+// the failure domain left.
+func load(ctx context.Context, s *site.Site, d time.Duration, progress func(string, ...any)) (left time.Time, err error) {
 	for i := range s.Config.Services {
 		sv := &s.Config.Services[i]
 		s.Callers.Add(caller.Plan{
@@ -124,17 +109,18 @@
 	for _, step := range steps {
 		progress("%s", step.text)
 		if step.text == steps[1].text {
-			excuse(s, "hue-c")
+			excuse(s, awayDomain)
+			left = time.Now()
 		}
 		if err = s.Publish(step.edit); err != nil {
-			return err
+			return left, err
 		}
 		time.Sleep(pause)
 		if ctx.Err() != nil {
-			return ctx.Err()
+			return left, ctx.Err()
 		}
 	}
-	return nil
+	return left, nil
 }
 
 // excuse lets flows break that end in a failure domain.
@@ -147,57 +133,3 @@
 		}
 	}
 }
-
-func report(s *site.Site, o Options) Report {
-	r := Report{Seed: o.Seed, Daemons: len(s.VMs), Flows: s.Callers.Result()}
-	r.LongestStall = r.Flows.LongestStall
-	var loads []float64
-	for _, u := range s.Config.Services[0].Upstreams {
-		if u.State == config.UpstreamActive && u.Domain != "hue-c" {
-			loads = append(loads, float64(r.Flows.ByServer[string(u.Name)]))
-		}
-	}
-	r.MaxOverMean, r.Variation = Imbalance(loads)
-	return r
-}
-
-// Imbalance returns the largest load over the mean, and the coefficient of
-// variation of the loads.
-func Imbalance(loads []float64) (maxOverMean, variation float64) {
-	sum, top := 0.0, 0.0
-	for _, l := range loads {
-		sum += l
-		top = max(top, l)
-	}
-	mean := sum / float64(len(loads))
-	if mean == 0 {
-		return 0, 0
-	}
-	squares := 0.0
-	for _, l := range loads {
-		squares += (l - mean) * (l - mean)
-	}
-	return top / mean, math.Sqrt(squares/float64(len(loads))) / mean
-}
-
-func write(w io.Writer, o Options, r Report) error {
-	if o.JSON {
-		enc := json.NewEncoder(w)
-		enc.SetIndent("", "  ")
-		return enc.Encode(r)
-	}
-	fmt.Fprintf(w, "\n%-34s %8d\n", "flows opened", r.Flows.Opened)
-	fmt.Fprintf(w, "%-34s %8d\n", "broken flows", r.Flows.Broken)
-	fmt.Fprintf(w, "%-34s %8d\n", "flows ended with their domain", r.Flows.Excused)
-	fmt.Fprintf(w, "%-34s %8.3f\n", "imbalance, max/mean", r.MaxOverMean)
-	fmt.Fprintf(w, "%-34s %8.3f\n", "imbalance, coefficient of variation", r.Variation)
-	fmt.Fprintf(w, "%-34s %8s\n", "longest stall of a flow", r.LongestStall.Round(time.Millisecond))
-	q := r.Requests
-	fmt.Fprintf(w, "%-34s %8d\n", "requests answered", q.ByKind[caller.Answered])
-	fmt.Fprintf(w, "%-34s %8d\n", "requests refused as not run", q.ByKind[caller.NotRun])
-	fmt.Fprintf(w, "%-34s %8d\n", "requests refused as unknown or ran", q.ByKind[caller.Unknown]+q.ByKind[caller.Ran])
-	fmt.Fprintf(w, "%-34s %8d\n", "requests lost", r.Lost)
-	fmt.Fprintf(w, "%-34s %8d\n", "requests run twice", q.Doubled)
-	fmt.Fprintf(w, "%-34s %8d\n", "requests falsely called not run", q.FalseNotRun)
-	return nil
-}
--- /dev/null
+++ b/amaranthd/demo/report.go
@@ -0,0 +1,152 @@
+package demo
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"time"
+
+	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
+	"github.com/amaranthswitch/amaranthswitch/fleet/config"
+	"github.com/amaranthswitch/amaranthswitch/standin/caller"
+	"github.com/amaranthswitch/amaranthswitch/standin/site"
+)
+
+// Report is the result of a demo. Its first three fields are what the users
+// measure.
+type Report struct {
+	// Broken counts flows that ended though their failure domain stayed in
+	// service.
+	Broken int `json:"broken"`
+	// Imbalance is the largest number of open flows of an upstream over the
+	// mean.
+	Imbalance float64 `json:"imbalance"`
+	// Service is the share of requests that were answered of those asked while
+	// a failure domain left and returned.
+	Service float64 `json:"service"`
+
+	Seed    uint64 `json:"seed"`
+	Daemons int    `json:"daemons"`
+	// RandomImbalance is what Imbalance is expected to be if upstreams are drawn
+	// at random.
+	RandomImbalance float64      `json:"randomImbalance"`
+	Variation       float64      `json:"coefficientOfVariation"`
+	StallMillis     clock.Millis `json:"longestStallMillis"`
+	FlowsOpened     int          `json:"flowsOpened"`
+	FlowsOpen       int          `json:"flowsOpen"`
+	// FlowsEnded counts flows that ended with their failure domain.
+	FlowsEnded int `json:"flowsEndedWithDomain"`
+
+	Requests  map[caller.Kind]int `json:"requests"`
+	P50Millis clock.Millis        `json:"requestP50Millis"`
+	P99Millis clock.Millis        `json:"requestP99Millis"`
+	// Lost counts requests without any answer, Doubled those that ran twice and
+	// FalseNotRun those that ran though a caller was told that they did not.
+	Lost        int `json:"requestsLost"`
+	Doubled     int `json:"requestsRunTwice"`
+	FalseNotRun int `json:"requestsFalselyNotRun"`
+}
+
+// report sums up a demo whose failure domain left at the given time.
+func report(s *site.Site, o Options, results []caller.RequestResult, left time.Time) Report {
+	flows, requests := s.Callers.Result(), caller.Summarize(results, s.Runs())
+	r := Report{
+		Seed: o.Seed, Daemons: len(s.VMs), Broken: flows.Broken, Service: service(results, left),
+		StallMillis: clock.Of(flows.LongestStall), FlowsOpened: flows.Opened, FlowsOpen: flows.Open, FlowsEnded: flows.Excused,
+		Requests: requests.ByKind, P50Millis: clock.Of(requests.P50), P99Millis: clock.Of(requests.P99),
+		Lost:    requests.ByKind[caller.Failed] + requests.ByKind[caller.Wrong],
+		Doubled: requests.Doubled, FalseNotRun: requests.FalseNotRun,
+	}
+	var loads []float64
+	for _, u := range s.Config.Services[0].Upstreams {
+		if u.State == config.UpstreamActive && u.Domain != awayDomain {
+			loads = append(loads, float64(flows.ByServer[string(u.Name)]))
+		}
+	}
+	r.Imbalance, r.Variation = Imbalance(loads)
+	r.RandomImbalance = randomImbalance(loads)
+	return r
+}
+
+// service returns the share of the requests sent after the given time that were
+// answered.
+func service(results []caller.RequestResult, after time.Time) float64 {
+	asked, answered := 0, 0
+	for i := range results {
+		if results[i].Sent.Before(after) {
+			continue
+		}
+		asked++
+		if results[i].Kind == caller.Answered {
+			answered++
+		}
+	}
+	return float64(answered) / float64(max(1, asked))
+}
+
+// Imbalance returns the largest load over the mean, and the coefficient of
+// variation of the loads.
+func Imbalance(loads []float64) (maxOverMean, variation float64) {
+	sum, top := 0.0, 0.0
+	for _, l := range loads {
+		sum += l
+		top = max(top, l)
+	}
+	mean := sum / float64(len(loads))
+	if mean == 0 {
+		return 0, 0
+	}
+	squares := 0.0
+	for _, l := range loads {
+		squares += (l - mean) * (l - mean)
+	}
+	return top / mean, math.Sqrt(squares/float64(len(loads))) / mean
+}
+
+// randomImbalance returns about what the imbalance would be if each of as many
+// flows drew its upstream: the largest of n Poisson counts.
+func randomImbalance(loads []float64) float64 {
+	sum := 0.0
+	for _, l := range loads {
+		sum += l
+	}
+	n := float64(len(loads))
+	if sum == 0 || n < 2 {
+		return 1
+	}
+	return 1 + math.Sqrt(2*math.Log(n)*n/sum)
+}
+
+// write prints the report as JSON or as a table.
+func write(w io.Writer, o Options, r Report) error {
+	if o.JSON {
+		enc := json.NewEncoder(w)
+		enc.SetIndent("", "  ")
+		return enc.Encode(r)
+	}
+	rows := []struct {
+		name, value string
+	}{
+		{"broken flows", fmt.Sprint(r.Broken)},
+		{"imbalance, max/mean", fmt.Sprintf("%.3f (%.3f by random choice)", r.Imbalance, r.RandomImbalance)},
+		{"service while a domain is away", fmt.Sprintf("%.4f", r.Service)},
+		{"flows opened", fmt.Sprint(r.FlowsOpened)},
+		{"flows ended with their domain", fmt.Sprint(r.FlowsEnded)},
+		{"imbalance, coefficient of variation", fmt.Sprintf("%.3f", r.Variation)},
+		{"longest stall of a flow", fmt.Sprintf("%d ms", r.StallMillis)},
+		{"requests answered", fmt.Sprint(r.Requests[caller.Answered])},
+		{"requests refused as not run", fmt.Sprint(r.Requests[caller.NotRun])},
+		{"requests refused as unknown or ran", fmt.Sprint(r.Requests[caller.Unknown] + r.Requests[caller.Ran])},
+		{"requests lost", fmt.Sprint(r.Lost)},
+		{"requests run twice", fmt.Sprint(r.Doubled)},
+		{"requests falsely called not run", fmt.Sprint(r.FalseNotRun)},
+	}
+	fmt.Fprintln(w)
+	for _, row := range rows {
+		if _, err := fmt.Fprintf(w, "%-36s %s\n", row.name, row.value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
