Call the store from the VM's own address, read half a second after a start

Cause: the store's client left its source address to the kernel. On loopback that is 127.0.0.1 for all VMs, so TestChangesArrive/refuses_one_VM, silent_to_one_VM and resets_two_of_three troubled nobody and could not fail: the stand-in counted 0 calls of each VM. And a starting fleet had no reader for a second, in which a change waited: TestDraining/removed opened a flow 1 s after the removal.

A starting VM may take itself for the reader after 0.5 s; the rig waits for one. peersListen lets a VM stand behind a forwarder.

--- a/amaranthd/entry/daemon.go
+++ b/amaranthd/entry/daemon.go
@@ -139,14 +139,14 @@
 }
 
 func providePool(set *Settings, clean *teardown.List) *rpc.Pool {
-	p, cleanup := rpc.NewPool(set.Peers.Addr(), callWait)
+	p, cleanup := rpc.NewPool(set.listen().Addr(), callWait)
 	clean.Add(cleanup)
 	return p
 }
 
 func provideServer(ctx context.Context, set *Settings, clean *teardown.List) (*rpc.Server, error) {
 	s := rpc.NewServer()
-	cleanup, err := s.Serve(ctx, set.Peers)
+	cleanup, err := s.Serve(ctx, set.listen())
 	if err == nil {
 		clean.Add(cleanup)
 	}
--- a/amaranthd/entry/peers.go
+++ b/amaranthd/entry/peers.go
@@ -64,9 +64,9 @@
 }
 
 func newPeers(ctx context.Context, set *Settings, engine *forward.Engine, k *keeper, pool *rpc.Pool, server *rpc.Server, clk clock.Clock, log *slog.Logger) (p *peers, cleanup func(), err error) {
-	defer func() { err = eris.Wrapf(err, "entry: open peers address %s", set.Peers) }()
+	defer func() { err = eris.Wrapf(err, "entry: open peers address %s", set.listen()) }()
 	var lc net.ListenConfig
-	pc, err := lc.ListenPacket(ctx, "udp4", set.Peers.String())
+	pc, err := lc.ListenPacket(ctx, "udp4", set.listen().String())
 	if err != nil {
 		return nil, nil, err
 	}
--- a/amaranthd/entry/settings.go
+++ b/amaranthd/entry/settings.go
@@ -27,6 +27,9 @@
 	Ready netip.AddrPort `json:"ready"`
 	// Peers takes datagrams and calls of other VMs.
 	Peers netip.AddrPort `json:"peers"`
+	// PeersListen is the address that is opened for other VMs if it is not Peers,
+	// for a VM behind a forwarder.
+	PeersListen netip.AddrPort `json:"peersListen,omitzero"`
 	// Metrics serves metrics and the status. It may be absent.
 	Metrics netip.AddrPort `json:"metrics,omitzero"`
 	// Seeds are the peer addresses of VMs that may be running.
@@ -88,6 +91,14 @@
 	return err
 }
 
+// listen returns the address that is opened for other VMs.
+func (s *Settings) listen() netip.AddrPort {
+	if s.PeersListen.IsValid() {
+		return s.PeersListen
+	}
+	return s.Peers
+}
+
 func (s *Settings) check() error {
 	if s.VM == "" {
 		return fmt.Errorf("field vm: is missing")
--- a/fleet/gossip/reader.go
+++ b/fleet/gossip/reader.go
@@ -13,7 +13,7 @@
 	readerLife = 2 * clock.Second
 	// readerAfter is the time in which a VM that starts hears of a reader, if
 	// there is one, before it takes itself for that.
-	readerAfter = 1 * clock.Second
+	readerAfter clock.Millis = 500
 )
 
 // reader is the VM that this one believes to read for the region.
