Read everything after a failure, whatever the rank

Cause: since a VM that is not the reader never read everything again after a call failed or the source forgot its changes; it asked for changes at once and again, without end while the history was gone.

Change: a copy that is old is read anew after a failure. Both tests run for both ranks.

--- a/amaranthd/entry/keeper.go
+++ b/amaranthd/entry/keeper.go
@@ -74,7 +74,7 @@
 	kicked    bool
 	interrupt func()
 
-	readAt    clock.Millis // when everything is to be read again
+	readAt    clock.Millis // when everything is to be read again, 0 for at once
 	rank      atomic.Int64 // 0 for the reader
 	confirmed atomic.Int64 // clock.Millis at which the copy was complete
 	down      atomic.Bool
@@ -264,7 +264,7 @@
 	reader := k.rank.Load() == 0
 	old := now-clock.Millis(k.confirmed.Load()) >= k.old()
 	switch {
-	case k.takeKick(), reader && now >= k.readAt, old && k.held().Complete == 0:
+	case k.takeKick(), reader && now >= k.readAt, old && k.readAt == 0:
 		return k.read(ctx)
 	case reader:
 		return k.watch(ctx, watchWait)
--- a/amaranthd/entry/keeper_test.go
+++ b/amaranthd/entry/keeper_test.go
@@ -80,25 +80,57 @@
 	})
 }
 
-// TestForgottenChangesAreReadAgain loses the history at the source.
+// TestForgottenChangesAreReadAgain loses the history at the source, of the reader
+// and of a VM whose copy nobody confirms.
 func TestForgottenChangesAreReadAgain(t *testing.T) {
-	f := &fakeSource{}
-	rev := replica.Revision(3)
-	f.read = func() (replica.Update, error) { return full(rev) }
-	f.watch = func(ctx context.Context, after replica.Revision) (replica.Update, error) {
-		if after < 9 {
-			f.mu.Lock()
-			rev = 9
-			f.mu.Unlock()
-			return replica.Update{}, ErrForgotten
-		}
-		<-ctx.Done()
-		return replica.Update{}, ctx.Err()
+	for rank := range 2 {
+		t.Run(fmt.Sprint("rank ", rank), func(t *testing.T) {
+			t.Parallel()
+			f := &fakeSource{}
+			rev := replica.Revision(3)
+			f.read = func() (replica.Update, error) { return full(rev) }
+			f.watch = func(ctx context.Context, after replica.Revision) (replica.Update, error) {
+				if after < 9 {
+					f.mu.Lock()
+					rev = 9
+					f.mu.Unlock()
+					return replica.Update{}, ErrForgotten
+				}
+				<-ctx.Done()
+				return replica.Update{}, ctx.Err()
+			}
+			k := newTestKeeper(f, func(*catalog.Catalog) {})
+			k.setRank(rank)
+			run(t, k)
+			eventually(t, func() bool { return k.held().Complete == 9 })
+			_, watches := f.counts()
+			assert.Assert(t, watches <= 3, "%d watches", watches)
+		})
+	}
+}
+
+// TestMuteWatchIsFollowedByARead has watches hear nothing while plain reads are
+// answered, of the reader and of a VM whose copy nobody confirms.
+func TestMuteWatchIsFollowedByARead(t *testing.T) {
+	for rank := range 2 {
+		t.Run(fmt.Sprint("rank ", rank), func(t *testing.T) {
+			t.Parallel()
+			rev := replica.Revision(3)
+			f := &fakeSource{}
+			f.read = func() (replica.Update, error) { return full(rev) }
+			f.watch = func(ctx context.Context, _ replica.Revision) (replica.Update, error) {
+				f.mu.Lock()
+				rev = 8
+				f.mu.Unlock()
+				<-ctx.Done()
+				return replica.Update{}, ctx.Err()
+			}
+			k := newTestKeeper(f, func(*catalog.Catalog) {})
+			k.setRank(rank)
+			run(t, k)
+			eventually(t, func() bool { return k.held().Complete == 8 })
+		})
 	}
-	k := newTestKeeper(f, func(*catalog.Catalog) {})
-	k.setRank(0)
-	run(t, k)
-	eventually(t, func() bool { return k.held().Complete == 9 })
 }
 
 // TestFollowerLeavesTheSourceAlone confirms the copy as a reader's messages do.
