Hear of failure domains through neighbours, see at once that nothing is reached

Besides, each VM judged by what it heard itself; in large fleets a VM hears each other failure domain about once a second, so a silence of 1.2 s was often chance.

Change: messages within a failure domain tell how long ago it heard the others, and silence is judged by that. A VM that hears no other failure domain counts upstreams there as reached only while nothing speaks against their domain.

Ruled out: a longer silence alone, which would notice partitions later.

--- a/amaranthd/entry/paths.go
+++ b/amaranthd/entry/paths.go
@@ -10,15 +10,6 @@
 	"github.com/amaranthswitch/amaranthswitch/fleet/ident"
 )
 
-const (
-	// cutAfter is the silence of all VMs of a failure domain that means that
-	// there is no path to it.
-	cutAfter clock.Millis = 1200
-	// isolatedAfter is such a silence of all other failure domains that, with
-	// no upstream that answers, makes this VM leave the packets to others.
-	isolatedAfter clock.Millis = 400
-)
-
 // inDomain counts the VMs of a failure domain.
 func inDomain(list []gossip.Peer, domain ident.DomainName) (n int) {
 	for _, peer := range list {
@@ -39,13 +30,20 @@
 	return far
 }
 
-// watchPaths notices partitions by the silence of whole failure domains.
-func (p *peers) watchPaths(ctx context.Context, now clock.Millis, heard map[ident.DomainName]clock.Millis) {
-	p.isolated = len(p.far) > 0
+// cutDomains returns the failure domains to which there is no path. The caller
+// holds mu.
+func (p *peers) cutDomains(now clock.Millis) map[ident.DomainName]bool {
+	cut := make(map[ident.DomainName]bool)
 	for _, domain := range p.far {
-		silence := now - max(p.started, heard[domain])
-		p.isolated = p.isolated && silence >= isolatedAfter
-		cut := silence >= cutAfter
+		cut[domain] = p.group.Cut(now, domain)
+	}
+	return cut
+}
+
+// takePaths passes on which failure domains there is no path to.
+func (p *peers) takePaths(ctx context.Context, now clock.Millis, cuts map[ident.DomainName]bool) {
+	for _, domain := range p.far {
+		cut := cuts[domain]
 		if cut == p.cut[domain] {
 			continue
 		}
@@ -59,15 +57,17 @@
 }
 
 // checkStranded decides whether this VM leaves the packets to VMs elsewhere:
-// it hears no other failure domain, and no upstream answers it, or so say all
-// its neighbours, which may have seen more.
+// it hears no other failure domain, and no upstream of its own answers it, or so
+// say all its neighbours, which may have seen more.
 func (p *peers) checkStranded(now clock.Millis) {
-	reaches := !p.engine.Stranded(now)
+	p.mu.Lock()
+	isolated := p.group.Isolated(now, p.far)
+	p.mu.Unlock()
+	reaches := !isolated || !p.engine.Stranded(now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	stranded := p.isolated && (!reaches || p.group.NearStranded(now))
-	p.stranded.Store(stranded)
-	p.group.SetStranded(p.isolated && !reaches)
+	p.stranded.Store(isolated && (!reaches || p.group.NearStranded(now)))
+	p.group.SetStranded(!reaches)
 }
 
 // logChanges logs which VMs began or ceased to be heard.
--- a/amaranthd/entry/peers.go
+++ b/amaranthd/entry/peers.go
@@ -57,7 +57,6 @@
 	far      []ident.DomainName
 	started  clock.Millis
 	cut      map[ident.DomainName]bool // failure domains none of whose VMs is heard
-	isolated bool                      // all of them are
 	stranded atomic.Bool
 	bytesOut atomic.Int64
 	invalid  atomic.Int64
@@ -152,7 +151,7 @@
 	vms := p.group.VMs()
 	alive := p.group.Alive(now)
 	others := p.group.Others(now)
-	heard := p.group.Heard()
+	cuts := p.cutDomains(now)
 	_, behind := p.group.Ahead(now, held.Complete)
 	near := 1
 	if p.group.TellsLoads(now) {
@@ -167,7 +166,7 @@
 	}
 	p.engine.SetOthers(sumsOf(others))
 	p.logChanges(ctx, alive)
-	p.watchPaths(ctx, now, heard)
+	p.takePaths(ctx, now, cuts)
 	p.checkStranded(now)
 	if behind {
 		p.exchange.want(pull{behind: true})
--- a/fleet/forward/engine.go
+++ b/fleet/forward/engine.go
@@ -248,7 +248,9 @@
 	return Decision{Action: Refuse, Reason: r}
 }
 
-// Stranded reports whether no upstream that takes new flows answers from here.
+// Stranded reports whether no upstream that takes new flows answers from here. It
+// is meant for a VM that hears no other failure domain, so upstreams elsewhere
+// count as long as nothing speaks against their failure domain.
 func (e *Engine) Stranded(now clock.Millis) bool {
 	v := e.view.Load()
 	if v == nil {
@@ -260,7 +262,7 @@
 			if !t.entry.TakesNew(now) {
 				continue
 			}
-			if answers(t) {
+			if answers(t) && (e.isLocal(t) || t.domain.reached()) {
 				return false
 			}
 			taking = true
--- a/fleet/forward/health.go
+++ b/fleet/forward/health.go
@@ -123,6 +123,13 @@
 	return h.unheard || h.cond == lost
 }
 
+// reached reports whether nothing speaks against a path to the failure domain.
+func (h *health) reached() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.unheard && h.cond == answering
+}
+
 // condition returns what is believed.
 func (h *health) condition() condition {
 	h.mu.Lock()
--- a/fleet/gossip/group.go
+++ b/fleet/gossip/group.go
@@ -70,6 +70,8 @@
 	// failing tells that this VM cannot read.
 	failing bool
 	reader  reader
+	// heard is when a VM of the own failure domain last heard each other one.
+	heard map[ident.DomainName]clock.Millis
 }
 
 // New returns the group of a VM that starts at now and knows only its seeds.
@@ -80,6 +82,7 @@
 		rng:     rand.New(rand.NewPCG(seed, uint64(now))),
 		seeds:   seeds,
 		members: make(map[ident.VMID]*member),
+		heard:   make(map[ident.DomainName]clock.Millis),
 	}
 }
 
@@ -123,6 +126,7 @@
 	m.peer, m.started, m.number = msg.From, msg.Started, msg.Number
 	m.heard, m.leaving, m.stranded = now, msg.Leaving, msg.Stranded
 	g.hearOfReader(now, msg)
+	g.hearOfDomains(now, msg)
 	m.copy = Copy{Complete: msg.Complete, ConfirmedAt: now - max(0, msg.Age)}
 	if msg.Loads != nil {
 		m.loads = msg.Loads
--- a/fleet/gossip/group_test.go
+++ b/fleet/gossip/group_test.go
@@ -115,6 +115,66 @@
 	assert.Equal(t, f.readers()["all"], 1)
 }
 
+// TestDomainsAreHeard runs calm fleets: nobody may take a failure domain for cut
+// off, or its own for alone. A VM of a large fleet seldom hears each failure
+// domain itself.
+func TestDomainsAreHeard(t *testing.T) {
+	for _, size := range []struct{ vms, domains int }{{7, 3}, {65, 3}, {295, 5}, {470, 8}} {
+		f := newFleet(size.vms, size.domains, 0, 1, 2)
+		f.rounds(60)
+		cut, isolated := 0, 0
+		for range 80 {
+			f.rounds(1)
+			for _, a := range f.order {
+				c, alone := f.paths(a, size.domains)
+				cut += c
+				isolated += alone
+			}
+		}
+		assert.Equal(t, cut, 0, "%d VMs", size.vms)
+		assert.Equal(t, isolated, 0, "%d VMs", size.vms)
+	}
+}
+
+// TestCutDomainIsNoticed cuts a failure domain off, and then the path between two
+// that both reach a third.
+func TestCutDomainIsNoticed(t *testing.T) {
+	f := newFleet(65, 3, 0, 1, 2)
+	f.rounds(60)
+	f.cut = func(a, b ident.DomainName) bool { return (a == "d1") != (b == "d1") }
+	f.rounds(int(isolatedAfter/roundEvery) + 2)
+	for i, a := range f.order {
+		_, alone := f.paths(a, 3)
+		assert.Equal(t, alone == 1, i%3 == 1, "%s", a)
+	}
+	f.cut = func(a, b ident.DomainName) bool { return a != b && a != "d2" && b != "d2" }
+	f.rounds(int(cutAfter/roundEvery) + 8)
+	for i, a := range f.order {
+		cut, alone := f.paths(a, 3)
+		assert.Equal(t, cut, []int{1, 1, 0}[i%3], "%s", a)
+		assert.Equal(t, alone, 0, "%s", a)
+	}
+}
+
+// paths counts the failure domains that a VM takes for cut off, and 1 if it takes
+// its own for alone.
+func (f *fleet) paths(a netip.AddrPort, domains int) (cut, isolated int) {
+	g := f.groups[a]
+	var others []ident.DomainName
+	for i := range domains {
+		if d := ident.DomainName(fmt.Sprint("d", i)); d != g.self.Domain {
+			others = append(others, d)
+			if g.Cut(f.now, d) {
+				cut++
+			}
+		}
+	}
+	if g.Isolated(f.now, others) {
+		isolated = 1
+	}
+	return cut, isolated
+}
+
 // TestOneReaderInALargeFleet checks that all VMs agree on who reads though each
 // hears few of them directly, and again after that one died, left or lost the
 // source.
--- a/fleet/gossip/message.go
+++ b/fleet/gossip/message.go
@@ -51,6 +51,9 @@
 	// Asks wants an answer at once.
 	Asks  bool
 	Known []Peer
+	// Heard is how long ago the failure domain of sender and receiver heard the
+	// others. It is not told between failure domains.
+	Heard []DomainAge
 	// Loads is what the sender puts on each upstream, nil if it does not tell.
 	Loads []Load
 	// News is the newest change, if it is small.
--- a/fleet/gossip/round.go
+++ b/fleet/gossip/round.go
@@ -22,14 +22,18 @@
 	if !g.TellsLoads(now) {
 		loads = nil
 	}
-	alive, silent := g.targets(now), g.silent(now)
-	for _, to := range alive {
+	near, far := g.targets(now)
+	heard := g.heardNow(now)
+	for i, to := range slices.Concat(near, far) {
 		msg := g.message(now, held)
 		msg.Loads, msg.Known = loads, known
+		if i < len(near) {
+			msg.Heard = heard
+		}
 		out = append(out, Send{To: to, Message: msg})
 	}
 	if greet {
-		out = append(out, g.greet(now, held, alive, silent)...)
+		out = append(out, g.greet(now, held, slices.Concat(near, far), g.silent(now))...)
 	}
 	return out
 }
@@ -56,7 +60,7 @@
 	alive := g.living(now)
 	to := g.pick(alive[g.self.Domain], nearEach)
 	if g.isReader(now) {
-		to = g.readerTargets(alive)
+		to = slices.Concat(g.readerTargets(alive))
 	}
 	for _, to := range to {
 		msg := g.message(now, held)
@@ -74,23 +78,23 @@
 	}
 }
 
-// targets picks the living VMs that a round goes to, at random.
-func (g *Group) targets(now clock.Millis) []netip.AddrPort {
+// targets picks the living VMs that a round goes to, at random: those of the own
+// failure domain, and others.
+func (g *Group) targets(now clock.Millis) (near, far []netip.AddrPort) {
 	alive := g.living(now)
 	if g.isReader(now) {
 		return g.readerTargets(alive)
 	}
-	var far []netip.AddrPort
 	for _, domain := range sortedKeys(alive) {
 		if domain != g.self.Domain {
 			far = append(far, alive[domain]...)
 		}
 	}
-	return append(g.pick(alive[g.self.Domain], nearEach), g.pick(far, farEach)...)
+	return g.pick(alive[g.self.Domain], nearEach), g.pick(far, farEach)
 }
 
 // readerTargets picks VMs of all failure domains.
-func (g *Group) readerTargets(alive map[ident.DomainName][]netip.AddrPort) (to []netip.AddrPort) {
+func (g *Group) readerTargets(alive map[ident.DomainName][]netip.AddrPort) (near, far []netip.AddrPort) {
 	others := len(alive)
 	if len(alive[g.self.Domain]) > 0 {
 		others--
@@ -98,12 +102,12 @@
 	each := max(farLeast, readerFar/max(1, others))
 	for _, domain := range sortedKeys(alive) {
 		if domain == g.self.Domain {
-			to = append(to, g.pick(alive[domain], readerNear)...)
+			near = g.pick(alive[domain], readerNear)
 			continue
 		}
-		to = append(to, g.pick(alive[domain], each)...)
+		far = append(far, g.pick(alive[domain], each)...)
 	}
-	return to
+	return near, far
 }
 
 // living returns the addresses of the VMs that are heard, by failure domain.
--- a/fleet/gossip/view.go
+++ b/fleet/gossip/view.go
@@ -29,17 +29,6 @@
 	return peers
 }
 
-// Heard returns when a VM of each other failure domain was last heard.
-func (g *Group) Heard() map[ident.DomainName]clock.Millis {
-	heard := make(map[ident.DomainName]clock.Millis)
-	for _, m := range g.members {
-		if m.heard != 0 && m.peer.Domain != g.self.Domain {
-			heard[m.peer.Domain] = max(heard[m.peer.Domain], m.heard)
-		}
-	}
-	return heard
-}
-
 // Ahead returns a living VM that holds a higher revision than complete, one
 // of the own failure domain if there is any.
 func (g *Group) Ahead(now clock.Millis, complete replica.Revision) (p Peer, ok bool) {
