Put together what the VMs of a failure domain see of silent upstreams

Cause: a VM judged upstreams by its own flows alone. With 65 VMs before 150 upstreams, and far more with 295 before 600, no VM sees two flows of one upstream within the three heartbeats for which a dark one stays published, and open flows there were given up by none.

Change: a VM that sees a flow wait in vain tells two judges of the upstream, and all VMs of the failure domain once two flows wait; a VM that saw an answer to something sent later says so. Two stalled flows end new flows, three end open ones unless a contrary proof comes within 0.3 s. Only judges try an upstream again that is silent. The second copy of an opening packet goes elsewhere.

Weighed: telling everyone of each lost packet (at the size of the aim 16 KB/s a VM); a judge that asks all VMs for proofs (another round trip).

--- a/amaranthd/entry/daemon.go
+++ b/amaranthd/entry/daemon.go
@@ -270,6 +270,7 @@
 		d.pauses.look()
 		now := d.clk.Now()
 		d.engine.Tick(now)
+		d.peers.spread()
 		if now-forgot > forgetEvery {
 			forgot = now
 			d.keeper.forget()
--- a/amaranthd/entry/peers.go
+++ b/amaranthd/entry/peers.go
@@ -117,6 +117,10 @@
 	confirmed := p.group.ConfirmedAt(held.Complete)
 	p.mu.Unlock()
 	p.send(out)
+	if msg.From.Domain == p.domain && len(msg.Suspicions) > 0 {
+		now := p.clk.Now()
+		p.engine.TakeSuspicions(now, timesOf(now, waited, msg.Suspicions))
+	}
 	p.keeper.confirm(confirmed)
 	if askAll {
 		p.exchange.want(pull{from: msg.From})
@@ -152,6 +156,7 @@
 	alive := p.group.Alive(now)
 	others := p.group.Others(now)
 	cuts := p.cutDomains(now)
+	neighbours := p.group.Neighbours(now)
 	_, behind := p.group.Ahead(now, held.Complete)
 	near := 1
 	if p.group.TellsLoads(now) {
@@ -161,6 +166,7 @@
 	p.send(out)
 	p.keeper.setRank(rank)
 	p.engine.SetNear(near)
+	p.engine.SetNeighbours(neighbours)
 	if now-p.started >= groupKnownAfter {
 		p.engine.SetVMs(vms)
 	}
--- /dev/null
+++ b/amaranthd/entry/suspicions.go
@@ -0,0 +1,50 @@
+package entry
+
+import (
+	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
+	"github.com/amaranthswitch/amaranthswitch/fleet/forward"
+	"github.com/amaranthswitch/amaranthswitch/fleet/gossip"
+)
+
+// spread tells VMs of the own failure domain what is new of upstreams that may be
+// silent.
+func (p *peers) spread() {
+	now := p.clk.Now()
+	list := p.engine.Suspicions(now)
+	if len(list) == 0 {
+		return
+	}
+	held := p.keeper.held()
+	p.mu.Lock()
+	out := p.group.Spread(now, held, agesOf(now, list), forward.Judges)
+	p.mu.Unlock()
+	p.send(out)
+}
+
+// agesOf turns times of this VM's clock into ages.
+func agesOf(now clock.Millis, list []forward.Suspicion) []gossip.Suspicion {
+	told := make([]gossip.Suspicion, len(list))
+	for i, s := range list {
+		told[i] = gossip.Suspicion{Token: s.Token, Wide: s.Wide, Proved: s.ProvedAt != 0, ProvedAge: now - s.ProvedAt}
+		for _, stall := range s.Stalls {
+			told[i].Stalls = append(told[i].Stalls, gossip.Stall{Flow: stall.Flow, Age: now - stall.SentAt})
+		}
+	}
+	return told
+}
+
+// timesOf turns ages into times of this VM's clock. waited is how long the message
+// may have waited for this VM.
+func timesOf(now, waited clock.Millis, told []gossip.Suspicion) []forward.Suspicion {
+	list := make([]forward.Suspicion, len(told))
+	for i, s := range told {
+		list[i] = forward.Suspicion{Token: s.Token, Wide: s.Wide}
+		if s.Proved {
+			list[i].ProvedAt = now - waited - max(0, s.ProvedAge)
+		}
+		for _, stall := range s.Stalls {
+			list[i].Stalls = append(list[i].Stalls, forward.Stall{Flow: stall.Flow, SentAt: now - waited - max(0, stall.Age)})
+		}
+	}
+	return list
+}
--- a/fleet/forward/engine.go
+++ b/fleet/forward/engine.go
@@ -63,13 +63,17 @@
 	view   atomic.Pointer[view]
 	vms    atomic.Pointer[[]ident.VMID]
 	near   atomic.Int32
-	flows  *table
-	routes routeTable
+	// neighbours are the VMs that share what they see of upstreams.
+	neighbours atomic.Pointer[[]ident.VMID]
+	flows      *table
+	routes     routeTable
 
 	mu      sync.Mutex // guards what follows and the replacement of the view
 	loads   map[loadKey]*upstreamLoad
 	domains map[ident.DomainName]*health
-	given   []*upstreamLoad // lost upstreams whose flows are not yet given up
+	// suspects are the upstreams that something speaks against.
+	suspects map[catalog.Token]*target
+	given    []*upstreamLoad // lost upstreams whose flows are not yet given up
 
 	arrived   atomic.Int64 // clock.Millis of sending, see pathProved
 	swept     int
@@ -86,12 +90,13 @@
 // New returns an engine of the given VM without a catalog.
 func New(self ident.VMID, domain ident.DomainName, opts ...Option) *Engine {
 	e := &Engine{
-		self:    self,
-		domain:  domain,
-		policy:  DefaultPolicy(),
-		flows:   newTable(),
-		loads:   make(map[loadKey]*upstreamLoad),
-		domains: make(map[ident.DomainName]*health),
+		self:     self,
+		domain:   domain,
+		policy:   DefaultPolicy(),
+		flows:    newTable(),
+		loads:    make(map[loadKey]*upstreamLoad),
+		domains:  make(map[ident.DomainName]*health),
+		suspects: make(map[catalog.Token]*target),
 		seams: Seams{
 			Health: func(*catalog.Entry, bool, string, string) {},
 			Placed: func(*Packet, Decision, *catalog.Entry) {},
@@ -100,6 +105,7 @@
 		},
 	}
 	e.vms.Store(&[]ident.VMID{})
+	e.neighbours.Store(&[]ident.VMID{})
 	for _, opt := range opts {
 		opt(e)
 	}
@@ -136,6 +142,7 @@
 		}
 	}
 	e.loads = loads
+	e.keepSuspects(v)
 	e.view.Store(v)
 	e.routes.keep(func(a netip.AddrPort) bool { _, ok := c.Route(a); return ok })
 }
@@ -158,6 +165,10 @@
 // their loads, self included.
 func (e *Engine) SetNear(n int) { e.near.Store(int32(n)) }
 
+// SetNeighbours sets the living VMs of the own failure domain, self included, with
+// which this one shares what it sees of upstreams.
+func (e *Engine) SetNeighbours(vms []ident.VMID) { e.neighbours.Store(&vms) }
+
 // Ready reports whether the engine has a catalog.
 func (e *Engine) Ready() bool { return e.view.Load() != nil }
 
--- a/fleet/forward/health.go
+++ b/fleet/forward/health.go
@@ -48,6 +48,8 @@
 	cond         condition
 	nextTrial    clock.Millis
 	trialBackoff clock.Millis
+	// shared is what VMs put together.
+	shared shared
 	// unheard is set while no VM of a failure domain is heard.
 	unheard bool
 }
@@ -59,12 +61,29 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	before = h.cond
+	h.prove(sentAt)
+	if before != answering && h.cond == answering {
+		h.shared.pending, h.shared.wide = true, true
+	}
+	return before, h.cond
+}
+
+// prove takes note that something sent at the given time arrived. The caller holds
+// mu.
+func (h *health) prove(sentAt clock.Millis) {
 	h.proved = max(h.proved, sentAt)
-	if sentAt > h.stalledSent {
+	if sentAt > h.stalledSent && sentAt > h.shared.newest() {
 		h.stalled, h.source, h.several = 0, nil, false
+		h.shared.stalls = nil
 		h.cond, h.trialBackoff = answering, 0
 	}
-	return before, h.cond
+}
+
+// beSilent ends new flows but trials. The caller holds mu.
+func (h *health) beSilent(now clock.Millis) {
+	h.cond = silent
+	h.trialBackoff = firstTrial
+	h.nextTrial = now + firstTrial
 }
 
 // stall records that a flow waits in vain for source to answer what it sent at
@@ -91,9 +110,7 @@
 		return before, before
 	}
 	if h.stalled >= silentFlows && h.cond == answering {
-		h.cond = silent
-		h.trialBackoff = firstTrial
-		h.nextTrial = now + firstTrial
+		h.beSilent(now)
 	}
 	if h.stalled >= lostFlows && now-h.proved >= lostAfter && pathProved > h.stalledSent {
 		h.cond = lost
--- a/fleet/forward/learn.go
+++ b/fleet/forward/learn.go
@@ -43,7 +43,7 @@
 	}
 	end := p.Seq + uint32(p.Bytes)
 	if int32(end-f.seq) <= 0 {
-		e.repeated(now, f)
+		e.repeated(now, f, p)
 		return
 	}
 	f.seq = end
@@ -84,7 +84,7 @@
 
 // repeated takes note that the caller sent something again, which it does
 // without an acknowledgement.
-func (e *Engine) repeated(now clock.Millis, f *flow) {
+func (e *Engine) repeated(now clock.Millis, f *flow, p *Packet) {
 	if now-f.sentAt < repeatAfter {
 		return // out of order, or queued with the first one
 	}
@@ -99,6 +99,11 @@
 	if before != lost && after == lost {
 		e.giveUp(f.target.load)
 	}
+	if path > f.sentAt { // else this VM's own link may hold all up
+		before, after = f.target.load.health.tell(now, Stall{Flow: uint32(keyOf(p).hash()), SentAt: f.sentAt})
+		e.suspect(f.target)
+		e.concluded(f.target, before, after)
+	}
 	before, after = f.target.domain.stall(now, f.sentAt, path, counted, f.target.load, 2)
 	e.report(f, true, before, after)
 }
--- a/fleet/forward/place.go
+++ b/fleet/forward/place.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"slices"
+
 	"github.com/amaranthswitch/amaranthswitch/fleet/catalog"
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
 	"github.com/amaranthswitch/amaranthswitch/fleet/config"
@@ -50,7 +52,7 @@
 	f := s.flows[k]
 	var except *target
 	if f.opened && f.opening == p.Seq && !f.closed {
-		if t := e.again(now, v, &f); t != nil {
+		if t := e.again(now, v, &f, p); t != nil {
 			f.seen = now
 			s.flows[k] = f
 			return e.placed(p, t)
@@ -75,10 +77,16 @@
 	return e.placed(p, t)
 }
 
+// copyElsewhereAfter is the wait after which a further copy of an opening packet
+// goes elsewhere: of an upstream that answers, the answer to the first packet and
+// to its copy were both lost, which is rare.
+const copyElsewhereAfter clock.Millis = 400
+
 // again returns where a copy of an opening packet goes: to where the first one
 // went, so that a flow never opens on two upstreams, unless that upstream is
-// silent or takes no new flows any more, in which case it returns nil.
-func (e *Engine) again(now clock.Millis, v *view, f *flow) *target {
+// silent, takes no new flows any more, or answered neither the first packet nor a
+// copy, in which case it returns nil.
+func (e *Engine) again(now clock.Millis, v *view, f *flow, p *Packet) *target {
 	t, ok := v.tokens[f.target.entry.Token]
 	if !ok || t.load != f.target.load {
 		return nil
@@ -86,8 +94,8 @@
 	if f.linked {
 		return t
 	}
-	e.repeated(now, f)
-	if !t.entry.TakesNew(now) || !answers(t) {
+	e.repeated(now, f, p)
+	if !t.entry.TakesNew(now) || !answers(t) || p.Copies > 1 && now-f.sentAt >= copyElsewhereAfter {
 		return nil
 	}
 	return t
@@ -125,7 +133,7 @@
 				bestCold, bestColdCost = t, cost
 			}
 		case !answers(t) || t.domain.avoided():
-			if p.Copies == 0 && tryAgain(now, t) {
+			if p.Copies == 0 && e.tryAgain(now, t) {
 				return t
 			}
 			if bestSilent == nil || cost < bestSilentCost {
@@ -146,11 +154,19 @@
 
 // tryAgain reports whether a flow may go to t to see whether it answers again.
 // While its whole failure domain does not answer, one upstream stands for all.
-func tryAgain(now clock.Millis, t *target) bool {
+// Of the VMs that share what they see of upstreams, those that rank first for t
+// try it for all.
+func (e *Engine) tryAgain(now clock.Millis, t *target) bool {
 	if t.domain.condition() != answering {
 		return t.domain.trial(now)
 	}
-	return t.load.health.trial(now)
+	return t.load.health.trial(now) && e.ranksFirst(t.entry.Token)
+}
+
+// ranksFirst reports whether this VM is a judge of an upstream.
+func (e *Engine) ranksFirst(token catalog.Token) bool {
+	near := *e.neighbours.Load()
+	return len(near) == 0 || slices.Contains(Judges(token, near), e.self)
 }
 
 // cost returns what it costs to place a flow on t, in requests under way per
--- a/fleet/gossip/message.go
+++ b/fleet/gossip/message.go
@@ -56,6 +56,8 @@
 	Heard []DomainAge
 	// Loads is what the sender puts on each upstream, nil if it does not tell.
 	Loads []Load
+	// Suspicions tell of upstreams that may be silent, within a failure domain.
+	Suspicions []Suspicion
 	// News is the newest change, if it is small.
 	News *replica.Update
 }
--- a/standin/emulator/emulator_test.go
+++ b/standin/emulator/emulator_test.go
@@ -133,6 +133,79 @@
 	}
 }
 
+// largeFleet has the VMs and upstreams of the large installation: a VM sees an
+// upstream once in a minute.
+func largeFleet(seed uint64) Setup {
+	return Setup{
+		Seed:    seed,
+		Domains: []Domain{{"a", 53, 120}, {"b", 63, 120}, {"c", 52, 120}, {"d", 63, 120}, {"e", 64, 120}},
+		Slots:   2, Queue: 8,
+		Policy: forward.DefaultPolicy(),
+	}
+}
+
+// startLarge begins the load of the large installation.
+func startLarge(w *World) (loads []*Load) {
+	for _, d := range w.setup.Domains {
+		long, short := feeds(d.Name), orders(d.Name)
+		long.Callers, long.Pause, long.Aim, long.Deadline = 750, 2000, 400, 2000
+		short.Callers, short.Pause, short.Aim, short.Deadline = 110, 1000, 400, 2000
+		for _, l := range []*Load{long, short} {
+			w.Start(l)
+			loads = append(loads, l)
+		}
+	}
+	return loads
+}
+
+// TestDarkUpstreamsOfALargeFleet takes the power from a quarter of the upstreams of
+// a fleet of 295 VMs, as on its day trouble-2. They stay published for three
+// heartbeats. VMs that put together what they see serve more.
+func TestDarkUpstreamsOfALargeFleet(t *testing.T) {
+	play := func(alone bool) (sum Load) {
+		s := largeFleet(1)
+		s.Alone, s.Loss = alone, 0.002
+		w := New(s)
+		loads := startLarge(w)
+		w.At(6000, func() {
+			for i, u := range w.Upstreams {
+				if i%4 == 0 {
+					u.Crash()
+				}
+			}
+		})
+		w.At(9000, func() {
+			for i, u := range w.Upstreams {
+				u.Unlisted = i%4 == 0
+			}
+			w.Publish()
+		})
+		sum = window(w, loads, 5500, 10_500)
+		t.Logf("alone %v: %.4f served, %.4f in aim, %d told, %d resets, %d of them wrong", alone, served(sum), inAim(sum), w.Told, w.Resets, w.WrongResets)
+		assert.Equal(t, w.WrongResets, 0)
+		return sum
+	}
+	alone, together := play(true), play(false)
+	assert.Assert(t, served(together) >= 0.985)
+	assert.Assert(t, 1-served(together) <= (1-served(alone))/2)
+	assert.Assert(t, 1-inAim(together) <= 0.6*(1-inAim(alone)))
+}
+
+// TestLossAloneInALargeFleet loses packets and nothing else: no flow may be reset
+// for what VMs tell each other.
+func TestLossAloneInALargeFleet(t *testing.T) {
+	s := largeFleet(3)
+	s.Loss = 0.004
+	w := New(s)
+	startLarge(w)
+	w.Run(8000)
+	assert.Equal(t, w.WrongResets, 0)
+	t.Logf("%.2f suspicions told a VM and second", float64(w.Told)/295/7)
+}
+
+// inAim is the share of requests that were answered in time.
+func inAim(l Load) float64 { return float64(l.InAim) / float64(l.InAim+l.Late+l.Failed) }
+
 // TestSlowUpstream makes an upstream so slow that requests queue and are shed.
 // It answers, so its flows stay.
 func TestSlowUpstream(t *testing.T) {
--- a/standin/emulator/world.go
+++ b/standin/emulator/world.go
@@ -17,6 +17,9 @@
 	delayNear clock.Millis = 1
 	delayFar  clock.Millis = 2
 	tickEvery clock.Millis = 50
+	// wordAfter is the time after which a VM's word of an upstream has gone around
+	// its failure domain.
+	wordAfter clock.Millis = 100
 	// sumsEvery is the period at which VMs tell each other their loads.
 	sumsEvery clock.Millis = 250
 )
@@ -42,6 +45,8 @@
 	Policy forward.Policy
 	// ColdPerSecond is what a cold upstream bears.
 	ColdPerSecond float64
+	// Alone keeps VMs from telling each other of silent upstreams.
+	Alone bool
 	// Loss is the share of packets that are lost.
 	Loss float64
 }
@@ -59,6 +64,8 @@
 	Upstreams []*Upstream
 	// Cut reports whether no packet passes between two failure domains.
 	Cut func(a, b ident.DomainName) bool
+	// Told counts what VMs told of silent upstreams.
+	Told int
 	// Resets counts resets of open flows by VMs, and WrongResets those whose
 	// upstream lives and can be reached from the VM.
 	Resets, WrongResets int
@@ -75,6 +82,7 @@
 
 // VM is an entry VM.
 type VM struct {
+	ID     ident.VMID
 	Domain ident.DomainName
 	Engine *forward.Engine
 }
@@ -124,7 +132,7 @@
 		for i := range d.VMs {
 			id := ident.VMID(fmt.Sprint(d.Name, "-vm-", i))
 			ids = append(ids, id)
-			w.VMs = append(w.VMs, &VM{Domain: d.Name, Engine: forward.New(id, d.Name, forward.WithPolicy(s.Policy))})
+			w.VMs = append(w.VMs, &VM{ID: id, Domain: d.Name, Engine: forward.New(id, d.Name, forward.WithPolicy(s.Policy))})
 		}
 		for i := range d.Upstreams {
 			w.AddUpstream(fmt.Sprint(d.Name, "-up-", i), d.Name)
@@ -132,26 +140,28 @@
 	}
 	for _, vm := range w.VMs {
 		vm.Engine.SetVMs(ids)
-		vm.Engine.SetNear(w.count(vm.Domain))
+		vm.Engine.SetNeighbours(w.neighbours(vm.Domain))
+		vm.Engine.SetNear(len(w.neighbours(vm.Domain)))
 	}
 	w.Publish()
 	w.every(tickEvery, func() {
 		for _, vm := range w.VMs {
 			vm.Engine.Tick(w.Now)
+			w.tell(vm)
 		}
 	})
 	w.every(sumsEvery, w.exchange)
 	return w
 }
 
-// count returns the number of VMs of a failure domain.
-func (w *World) count(domain ident.DomainName) (n int) {
+// neighbours returns the VMs of a failure domain.
+func (w *World) neighbours(domain ident.DomainName) (ids []ident.VMID) {
 	for _, vm := range w.VMs {
 		if vm.Domain == domain {
-			n++
+			ids = append(ids, vm.ID)
 		}
 	}
-	return n
+	return ids
 }
 
 // AddUpstream adds an upstream, to be told to the VMs by Publish.
@@ -159,7 +169,7 @@
 	u := &Upstream{world: w, Domain: domain, name: catalog.PacketName(len(w.Upstreams) + 1), Alive: true, Speed: 1, flows: make(map[*Flow]bool)}
 	u.published = catalog.Upstream{
 		ID: catalog.UpstreamID(id), Name: u.name, Service: ServiceName, Domain: domain, Slots: w.setup.Slots,
-		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(len(w.Upstreams))}), 80),
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(len(w.Upstreams) >> 8), byte(len(w.Upstreams))}), 80),
 	}
 	w.Upstreams = append(w.Upstreams, u)
 	return u
@@ -225,6 +235,22 @@
 	}
 }
 
+// tell passes on to the neighbours of a VM what is new of silent upstreams.
+func (w *World) tell(vm *VM) {
+	list := vm.Engine.Suspicions(w.Now)
+	if len(list) == 0 || w.setup.Alone {
+		return
+	}
+	w.Told += len(list)
+	w.after(wordAfter, func() {
+		for _, other := range w.VMs {
+			if other != vm && other.Domain == vm.Domain {
+				other.Engine.TakeSuspicions(w.Now, list)
+			}
+		}
+	})
+}
+
 // At does something at a time, or now if that is past.
 func (w *World) At(at clock.Millis, do func()) {
 	w.order++
