Log what a belief about an upstream rests on, count suspicions

Cause: since VMs put together what they see, a line that an upstream fell silent did not tell whether this VM saw it or heard it.

One way reports all such changes.

--- a/amaranthd/entry/decisions.go
+++ b/amaranthd/entry/decisions.go
@@ -15,13 +15,16 @@
 func logDecisions(log *slog.Logger) forward.Seams {
 	ctx := context.Background()
 	return forward.Seams{
-		Health: func(u *catalog.Entry, wholeDomain bool, from, to string) {
-			attrs := []slog.Attr{slog.String("domain", string(u.Domain)), slog.String("from", from), slog.String("to", to)}
-			if wholeDomain {
+		Health: func(b forward.Belief) {
+			attrs := []slog.Attr{
+				slog.String("domain", string(b.Upstream.Domain)), slog.String("from", b.From), slog.String("to", b.To),
+				slog.Int("flows", b.Flows), slog.Int64("provedAgeMillis", int64(b.ProvedAge)),
+			}
+			if b.WholeDomain {
 				event.Log(ctx, log, event.DomainHealth, attrs...)
 				return
 			}
-			event.Log(ctx, log, event.UpstreamHealth, append(attrs, slog.String("upstream", string(u.ID)))...)
+			event.Log(ctx, log, event.UpstreamHealth, append(attrs, slog.String("upstream", string(b.Upstream.ID)), slog.Bool("told", b.Told))...)
 		},
 		Placed: func(p *forward.Packet, d forward.Decision, u *catalog.Entry) {
 			if d.Action == forward.Refuse {
--- a/amaranthd/entry/metrics.go
+++ b/amaranthd/entry/metrics.go
@@ -29,6 +29,8 @@
 		"amaranth_entry_peers":                   func() int64 { return int64(len(d.peers.status())) },
 		"amaranth_entry_peer_bytes_out_total":    d.peers.bytesOut.Load,
 		"amaranth_entry_peer_invalid_total":      d.peers.invalid.Load,
+		"amaranth_entry_suspicions_told_total":   d.peers.told.Load,
+		"amaranth_entry_suspicions_heard_total":  d.peers.heard.Load,
 		"amaranth_entry_call_bytes_out_total":    func() int64 { return d.pool.BytesOut.Load() + d.server.BytesOut.Load() },
 		"amaranth_entry_revision":                func() int64 { return int64(d.keeper.held().Complete) },
 		"amaranth_entry_log_lines_dropped_total": d.linesDropped,
--- a/amaranthd/entry/peers.go
+++ b/amaranthd/entry/peers.go
@@ -60,6 +60,8 @@
 	stranded atomic.Bool
 	bytesOut atomic.Int64
 	invalid  atomic.Int64
+	told     atomic.Int64 // suspicions sent
+	heard    atomic.Int64 // suspicions received
 }
 
 func newPeers(ctx context.Context, set *Settings, engine *forward.Engine, k *keeper, pool *rpc.Pool, server *rpc.Server, clk clock.Clock, log *slog.Logger) (p *peers, cleanup func(), err error) {
@@ -119,6 +121,7 @@
 	p.send(out)
 	if msg.From.Domain == p.domain && len(msg.Suspicions) > 0 {
 		now := p.clk.Now()
+		p.heard.Add(int64(len(msg.Suspicions)))
 		p.engine.TakeSuspicions(now, timesOf(now, waited, msg.Suspicions))
 	}
 	p.keeper.confirm(confirmed)
--- a/amaranthd/entry/suspicions.go
+++ b/amaranthd/entry/suspicions.go
@@ -14,6 +14,7 @@
 	if len(list) == 0 {
 		return
 	}
+	p.told.Add(int64(len(list)))
 	held := p.keeper.held()
 	p.mu.Lock()
 	out := p.group.Spread(now, held, agesOf(now, list), forward.Judges)
--- a/fleet/forward/engine.go
+++ b/fleet/forward/engine.go
@@ -35,7 +35,7 @@
 type Seams struct {
 	// Health is told when the belief whether an upstream, or any upstream of
 	// its failure domain, answers changes.
-	Health func(u *catalog.Entry, wholeDomain bool, from, to string)
+	Health func(b Belief)
 	// Placed is told of each opening packet with what was decided.
 	Placed func(p *Packet, d Decision, u *catalog.Entry)
 	// Lost is told of each flow that is reset since its upstream is lost.
@@ -98,7 +98,7 @@
 		domains:  make(map[ident.DomainName]*health),
 		suspects: make(map[catalog.Token]*target),
 		seams: Seams{
-			Health: func(*catalog.Entry, bool, string, string) {},
+			Health: func(Belief) {},
 			Placed: func(*Packet, Decision, *catalog.Entry) {},
 			Lost:   func(*Packet, *catalog.Entry) {},
 			Opened: func(clock.Millis) {}, Answered: func(clock.Millis) {},
--- a/fleet/forward/engine_test.go
+++ b/fleet/forward/engine_test.go
@@ -200,9 +200,9 @@
 func TestOldAnswersProveNothing(t *testing.T) {
 	e := New("vm", "a")
 	var seen []string
-	e.seams.Health = func(_ *catalog.Entry, whole bool, _, to string) {
-		if !whole {
-			seen = append(seen, to)
+	e.seams.Health = func(b Belief) {
+		if !b.WholeDomain {
+			seen = append(seen, b.To)
 		}
 	}
 	e.SetCatalog(published(1, 0, upstream(1, "web", "a"), upstream(2, "api", "a")))
--- a/fleet/forward/learn.go
+++ b/fleet/forward/learn.go
@@ -28,12 +28,12 @@
 	f.count()
 	switch {
 	case f.linked && int32(p.Ack-f.ack) > 0:
-		e.proved(f)
+		e.proved(now, f)
 		if f.answered() {
 			e.seams.Answered(now - f.sentAt)
 		}
 	case !f.linked && f.opened:
-		e.proved(f)
+		e.proved(now, f)
 		e.seams.Opened(now - f.sentAt)
 	}
 	f.linked = true
@@ -59,7 +59,7 @@
 
 // proved takes note of a sign that the flow's upstream has what the flow sent
 // last: the caller completed the opening, or acknowledged more.
-func (e *Engine) proved(f *flow) {
+func (e *Engine) proved(now clock.Millis, f *flow) {
 	for {
 		old := e.arrived.Load()
 		if int64(f.sentAt) <= old || e.arrived.CompareAndSwap(old, int64(f.sentAt)) {
@@ -67,21 +67,14 @@
 		}
 	}
 	before, after := f.target.load.health.answered(f.sentAt)
-	e.report(f, false, before, after)
+	e.report(now, f.target, Belief{}, before, after)
 	before, after = f.target.domain.answered(f.sentAt)
-	e.report(f, true, before, after)
+	e.report(now, f.target, Belief{WholeDomain: true}, before, after)
 }
 
 // pathProved returns when the newest thing was sent that arrived anywhere.
 func (e *Engine) pathProved() clock.Millis { return clock.Millis(e.arrived.Load()) }
 
-// report tells of a change of what is believed.
-func (e *Engine) report(f *flow, wholeDomain bool, before, after condition) {
-	if before != after {
-		e.seams.Health(f.target.entry, wholeDomain, before.String(), after.String())
-	}
-}
-
 // repeated takes note that the caller sent something again, which it does
 // without an acknowledgement.
 func (e *Engine) repeated(now clock.Millis, f *flow, p *Packet) {
@@ -95,17 +88,14 @@
 	counted := f.stalledSent == f.sentAt
 	f.stallAt, f.stalledSent = now, f.sentAt
 	before, after := f.target.load.health.stall(now, f.sentAt, path, counted, f.target.load, 1)
-	e.report(f, false, before, after)
-	if before != lost && after == lost {
-		e.giveUp(f.target.load)
-	}
+	e.report(now, f.target, Belief{}, before, after)
 	if path > f.sentAt { // else this VM's own link may hold all up
 		before, after = f.target.load.health.tell(now, Stall{Flow: uint32(keyOf(p).hash()), SentAt: f.sentAt})
 		e.suspect(f.target)
-		e.concluded(f.target, before, after)
+		e.report(now, f.target, Belief{}, before, after)
 	}
 	before, after = f.target.domain.stall(now, f.sentAt, path, counted, f.target.load, 2)
-	e.report(f, true, before, after)
+	e.report(now, f.target, Belief{WholeDomain: true}, before, after)
 }
 
 const (
--- a/fleet/forward/suspicion.go
+++ b/fleet/forward/suspicion.go
@@ -170,7 +170,7 @@
 func (e *Engine) Suspicions(now clock.Millis) (list []Suspicion) {
 	for token, t := range e.suspected() {
 		before, after := t.load.health.review(now)
-		e.concluded(t, before, after)
+		e.report(now, t, Belief{Told: true}, before, after)
 		if len(list) == maxTold {
 			continue // the rest follows with the next call
 		}
@@ -195,7 +195,7 @@
 		}
 		before, after := t.load.health.merge(now, &list[i])
 		e.suspect(t)
-		e.concluded(t, before, after)
+		e.report(now, t, Belief{Told: true}, before, after)
 	}
 }
 
@@ -221,17 +221,6 @@
 	return homes.Designated(strconv.FormatUint(uint64(token), 16), near, judgesEach)
 }
 
-// concluded takes note of a change of what is believed of an upstream.
-func (e *Engine) concluded(t *target, before, after condition) {
-	if before == after {
-		return
-	}
-	e.seams.Health(t.entry, false, before.String(), after.String())
-	if after == lost {
-		e.giveUp(t.load)
-	}
-}
-
 // suspect keeps an upstream among those that are looked at again.
 func (e *Engine) suspect(t *target) {
 	e.mu.Lock()
