Ask the publisher less: hear others first, let few VMs check

Change: a VM that hears nobody greets its seeds in every round. VMs claim the vacant role of the reader in the order of their ranks. What decides is one pure function, replica.Reading, with the failing VMs told in messages.

Found by the way: the reader of a fleet of 470 VMs often had heard no VM of some failure domain within 2 s, so its news went there late (404 of 470 VMs reached at once).

Tests that failed before: TestMeetThroughSeedsThatStartLater, TestFewReadersAtTheStart (21 of 295 VMs, now 1), TestNewsReachesAllDomains at more moments, TestFirstCopyComesFromOthers, TestCallsWhilePublisherIsAway.

--- a/amaranthd/entry/daemon.go
+++ b/amaranthd/entry/daemon.go
@@ -135,7 +135,7 @@
 }
 
 func providePath(conn *net.UDPConn, a *Adapter, engine *forward.Engine, k *keeper, o *options, ps *pauses, log *slog.Logger) *path {
-	return newPath(conn, a, engine, o.clk, ps, requestLog{log: log, held: k.held, clk: o.clk})
+	return newPath(conn, a, engine, o.clk, ps, requestLog{log: log, held: k.held, clk: o.clk}, k.reread)
 }
 
 func providePool(set *Settings, clean *teardown.List) *rpc.Pool {
--- a/amaranthd/entry/keeper.go
+++ b/amaranthd/entry/keeper.go
@@ -31,15 +31,6 @@
 	// rereadEvery is the period at which the reader reads everything again, in
 	// case a watch left a change out.
 	rereadEvery = 8 * clock.Second
-	// firstRetry is the wait after a failed call. It doubles up to lastRetry.
-	firstRetry clock.Millis = 100
-	lastRetry  clock.Millis = 800
-	// oldAfter is the age of the copy at which a VM next to the reader asks
-	// the source itself. VMs further behind wait longer, by ageStep each, and
-	// oldAtMost bounds that.
-	oldAfter  clock.Millis = 1200
-	ageStep   clock.Millis = 250
-	oldAtMost clock.Millis = 1950
 	// awayAfter is the age of the copy at which the source counts as having
 	// been away. It exceeds the age that a copy reaches without that.
 	awayAfter clock.Millis = 2500
@@ -74,8 +65,10 @@
 	kicked    bool
 	interrupt func()
 
+	started   clock.Millis
 	readAt    clock.Millis // when everything is to be read again, 0 for at once
 	rank      atomic.Int64 // 0 for the reader
+	away      atomic.Bool  // others say that the source answers nobody
 	confirmed atomic.Int64 // clock.Millis at which the copy was complete
 	down      atomic.Bool
 	calls     atomic.Int64
@@ -85,8 +78,8 @@
 func newKeeper(a *Adapter, clk clock.Clock, ps *pauses, log *slog.Logger, heartbeat clock.Millis, publish func(*catalog.Catalog)) *keeper {
 	k := &keeper{
 		source: a.Source, clk: clk, pauses: ps, log: log, publish: publish,
-		replica: replica.New(),
-		news:    func(*replica.Update) {},
+		replica: replica.New(), started: clk.Now(),
+		news: func(*replica.Update) {},
 	}
 	k.rank.Store(1) // until the group knows better
 	k.builder = catalog.NewBuilder(a.Decode, k.reject, 2*heartbeat)
@@ -115,8 +108,12 @@
 	}
 }
 
-// setRank sets the place of this VM in the group, 0 for the reader.
-func (k *keeper) setRank(rank int) { k.rank.Store(int64(rank)) }
+// setRank sets the place of this VM in the group, 0 for the reader, and whether
+// others say that the source answers nobody.
+func (k *keeper) setRank(rank int, away bool) {
+	k.rank.Store(int64(rank))
+	k.away.Store(away)
+}
 
 // since returns what changed after a revision, for another VM.
 func (k *keeper) since(after replica.Revision) replica.Update {
@@ -236,13 +233,13 @@
 
 // run follows the source, or waits until that is needed, until ctx ends.
 func (k *keeper) run(ctx context.Context) error {
-	retry := firstRetry
+	failures := 0
 	for ctx.Err() == nil {
 		called := k.clk.Now()
 		err := k.step(ctx)
 		switch {
 		case err == nil:
-			retry = firstRetry
+			failures = 0
 		case errors.Is(err, errKicked):
 		case errors.Is(err, ErrForgotten):
 			k.readAt = 0
@@ -251,8 +248,9 @@
 			k.readAt = 0
 			k.failed(ctx, err)
 			// A call that took long has waited enough.
+			failures++
+			retry := replica.Retry(int(k.rank.Load()), failures, k.held().Complete == 0)
 			k.rest(ctx, max(1, retry-(k.clk.Now()-called)))
-			retry = min(2*retry, lastRetry)
 		}
 	}
 	return nil
@@ -261,25 +259,24 @@
 // step makes the call that is due, or waits if none is.
 func (k *keeper) step(ctx context.Context) error {
 	now := k.clk.Now()
-	reader := k.rank.Load() == 0
-	old := now-clock.Millis(k.confirmed.Load()) >= k.old()
-	switch {
-	case k.takeKick(), reader && now >= k.readAt, old && k.readAt == 0:
+	confirmed := clock.Millis(k.confirmed.Load())
+	reading := replica.Reading{
+		Rank: int(k.rank.Load()), Asked: k.takeKick(), Empty: k.held().Complete == 0, Started: now - k.started,
+		Age: now - confirmed, Away: k.away.Load(), Due: now >= k.readAt, Failed: k.readAt == 0,
+	}
+	switch reading.Next() {
+	case replica.ReadAll:
 		return k.read(ctx)
-	case reader:
+	case replica.Follow:
 		return k.watch(ctx, watchWait)
-	case old:
+	case replica.Check:
 		return k.watch(ctx, checkWait)
+	case replica.NoCall:
+		k.rest(ctx, ageCheck)
 	}
-	k.rest(ctx, ageCheck)
 	return nil
 }
 
-// old returns the age at which the copy is too old to wait for others.
-func (k *keeper) old() clock.Millis {
-	return min(oldAtMost, oldAfter+ageStep*clock.Millis(max(0, k.rank.Load()-1)))
-}
-
 var errKicked = errors.New("entry: watch was interrupted")
 
 func (k *keeper) read(ctx context.Context) error {
--- a/amaranthd/entry/path.go
+++ b/amaranthd/entry/path.go
@@ -31,6 +31,8 @@
 	pauses *pauses
 	// requests logs what is decided about requests.
 	requests requestLog
+	// wake asks for the first copy, which packets wait for.
+	wake func()
 	// replyPort is the port at which callers take packets.
 	replyPort uint16
 
@@ -57,9 +59,9 @@
 	return conn, nil
 }
 
-func newPath(conn *net.UDPConn, a *Adapter, engine *forward.Engine, clk clock.Clock, ps *pauses, requests requestLog) *path {
+func newPath(conn *net.UDPConn, a *Adapter, engine *forward.Engine, clk clock.Clock, ps *pauses, requests requestLog, wake func()) *path {
 	port := conn.LocalAddr().(*net.UDPAddr).AddrPort().Port()
-	p := &path{conn: conn, batch: ipv4.NewPacketConn(conn), codec: a.Codec, engine: engine, clk: clk, pauses: ps, replyPort: port, requests: requests}
+	p := &path{conn: conn, batch: ipv4.NewPacketConn(conn), codec: a.Codec, engine: engine, clk: clk, pauses: ps, replyPort: port, requests: requests, wake: wake}
 	p.makeBuffers()
 	return p
 }
@@ -80,7 +82,6 @@
 
 // run forwards packets until the socket is closed.
 func (p *path) run(ctx context.Context) error {
-	p.pauses.wait(ctx)
 	for {
 		n, err := p.batch.ReadBatch(p.in, 0)
 		if err != nil {
@@ -89,6 +90,9 @@
 			}
 			return eris.Wrap(err, "entry: read packets")
 		}
+		if !p.engine.Ready() {
+			p.wake()
+		}
 		p.pauses.wait(ctx)
 		now := p.clk.Now()
 		p.received.Add(int64(n))
--- a/amaranthd/entry/peers.go
+++ b/amaranthd/entry/peers.go
@@ -154,7 +154,7 @@
 	p.mu.Lock()
 	p.group.SetFailing(p.keeper.down.Load())
 	out := p.group.Round(now, held, loads)
-	rank := p.group.Rank(now)
+	rank, away := p.group.Rank(now), p.group.PublisherAway(now)
 	vms := p.group.VMs()
 	alive := p.group.Alive(now)
 	others := p.group.Others(now)
@@ -167,7 +167,7 @@
 	}
 	p.mu.Unlock()
 	p.send(out)
-	p.keeper.setRank(rank)
+	p.keeper.setRank(rank, away)
 	p.engine.SetNear(near)
 	p.engine.SetNeighbours(neighbours)
 	if now-p.started >= groupKnownAfter {
--- a/fleet/gossip/group.go
+++ b/fleet/gossip/group.go
@@ -11,12 +11,13 @@
 )
 
 const (
-	// nearEach and farEach bound the messages of a round to VMs of the own
-	// and of all other failure domains. The reader sends readerNear and
-	// readerFar, the latter shared out among the failure domains, of which each
-	// gets two at least.
+	// nearEach and farEach bound the messages of a round to VMs of the own and of
+	// all other failure domains, newsEach those about a change to the own one. The
+	// reader sends readerNear and readerFar, the latter shared out among the
+	// failure domains, of which each gets two at least.
 	nearEach   = 4
 	farEach    = 1
+	newsEach   = 5
 	readerNear = 8
 	readerFar  = 8
 	farLeast   = 2
@@ -26,6 +27,8 @@
 	knownFirst = 16
 	// aliveFor is how long a VM counts as alive after its last message.
 	aliveFor = 2 * clock.Second
+	// namedFor is how long a VM that was heard or named may be told of news.
+	namedFor = 10 * clock.Second
 	// silentEvery makes each n-th round greet VMs that are not alive.
 	silentEvery = 4
 	// forgetAfter is how long a silent VM counts as a member. Until then it
@@ -50,6 +53,7 @@
 	named    clock.Millis // last time that another VM named it
 	leaving  bool
 	stranded bool
+	failing  bool
 	copy     Copy
 	loads    []Load
 }
@@ -124,7 +128,7 @@
 	}
 	first := m.heard == 0
 	m.peer, m.started, m.number = msg.From, msg.Started, msg.Number
-	m.heard, m.leaving, m.stranded = now, msg.Leaving, msg.Stranded
+	m.heard, m.leaving, m.stranded, m.failing = now, msg.Leaving, msg.Stranded, msg.Failing
 	g.hearOfReader(now, msg)
 	g.hearOfDomains(now, msg)
 	m.copy = Copy{Complete: msg.Complete, ConfirmedAt: now - max(0, msg.Age)}
--- a/fleet/gossip/message.go
+++ b/fleet/gossip/message.go
@@ -41,6 +41,8 @@
 	// Stranded is set while the VM reaches neither another failure domain nor
 	// an upstream.
 	Stranded bool
+	// Failing is set while the publisher does not answer the sender.
+	Failing bool
 	// Complete is the revision up to which the sender holds every change.
 	Complete replica.Revision
 	// Age is how long ago the publisher confirmed that, at most maxAge.
--- a/fleet/gossip/reader.go
+++ b/fleet/gossip/reader.go
@@ -14,6 +14,11 @@
 	// readerAfter is the time in which a VM that starts hears of a reader, if
 	// there is one, before it takes itself for that.
 	readerAfter clock.Millis = 500
+	// claimStep is the wait of each further VM, by rank, before it takes itself for
+	// the reader when there is none, so that the word of the first one arrives
+	// before most others claim. No VM waits more than claimSteps of them.
+	claimStep  clock.Millis = 100
+	claimSteps              = 10
 )
 
 // reader is the VM that this one believes to read for the region.
@@ -35,12 +40,7 @@
 	if g.isReader(now) {
 		return 0
 	}
-	for id, m := range g.members {
-		if m.peer.Region == g.self.Region && m.alive(now) && outranks(id, g.self.ID) {
-			rank++
-		}
-	}
-	return max(1, rank)
+	return max(1, g.above(now))
 }
 
 // isReader reports whether this VM may read for others and knows of none that
@@ -49,7 +49,37 @@
 	if g.failing || g.leaving || now-g.started < readerAfter {
 		return false
 	}
-	return !g.reader.alive(now) || outranks(g.self.ID, g.reader.id)
+	if g.reader.alive(now) {
+		return outranks(g.self.ID, g.reader.id)
+	}
+	vacant := max(g.started+readerAfter, g.reader.seen+readerLife)
+	return now-vacant >= claimStep*clock.Millis(min(g.above(now), claimSteps))
+}
+
+// awayAfter is the number of living VMs that the publisher does not answer, after
+// which more of them need not ask.
+const awayAfter = 2
+
+// PublisherAway reports whether several other VMs say that the publisher does not
+// answer them. It may answer others, whose word then keeps the copy young.
+func (g *Group) PublisherAway(now clock.Millis) bool {
+	failing := 0
+	for _, m := range g.members {
+		if m.failing && m.peer.Region == g.self.Region && m.alive(now) {
+			failing++
+		}
+	}
+	return failing >= awayAfter
+}
+
+// above counts the VMs of the region that are heard and rank higher.
+func (g *Group) above(now clock.Millis) (n int) {
+	for id, m := range g.members {
+		if m.peer.Region == g.self.Region && m.alive(now) && outranks(id, g.self.ID) {
+			n++
+		}
+	}
+	return n
 }
 
 // readerNow returns what this VM tells others of the reader.
@@ -69,7 +99,7 @@
 		return
 	}
 	if msg.Leaving && g.reader.id == msg.From.ID {
-		g.reader = reader{}
+		g.reader = reader{seen: now - readerLife}
 	}
 	told := reader{id: msg.Reader.ID, seen: now - max(0, msg.Reader.Age)}
 	if told.id == g.self.ID || !told.alive(now) {
--- a/fleet/gossip/round.go
+++ b/fleet/gossip/round.go
@@ -14,7 +14,9 @@
 func (g *Group) Round(now clock.Millis, held Copy, loads []Load) (out []Send) {
 	g.rounds++
 	g.forget(now)
-	greet := g.rounds%silentEvery == 1
+	near, far := g.targets(now)
+	// A VM that hears nobody may have started before its seeds.
+	greet := g.rounds%silentEvery == 1 || len(near)+len(far) == 0
 	var known []Peer
 	if greet {
 		known = g.sample(now, knownEach)
@@ -22,7 +24,6 @@
 	if !g.TellsLoads(now) {
 		loads = nil
 	}
-	near, far := g.targets(now)
 	heard := g.heardNow(now)
 	for i, to := range slices.Concat(near, far) {
 		msg := g.message(now, held)
@@ -58,9 +59,9 @@
 // domains, the others pass on to a few of their own what they heard.
 func (g *Group) News(now clock.Millis, held Copy, news *replica.Update) (out []Send) {
 	alive := g.living(now)
-	to := g.pick(alive[g.self.Domain], nearEach)
+	to := g.pick(alive[g.self.Domain], newsEach)
 	if g.isReader(now) {
-		to = slices.Concat(g.readerTargets(alive))
+		to = slices.Concat(g.readerTargets(now, alive))
 	}
 	for _, to := range to {
 		msg := g.message(now, held)
@@ -73,7 +74,7 @@
 func (g *Group) message(now clock.Millis, held Copy) Message {
 	g.number++
 	return Message{
-		From: g.self, Started: g.started, Number: g.number, Leaving: g.leaving, Stranded: g.stranded,
+		From: g.self, Started: g.started, Number: g.number, Leaving: g.leaving, Stranded: g.stranded, Failing: g.failing,
 		Complete: held.Complete, Age: min(maxAge, now-held.ConfirmedAt), Reader: g.readerNow(now),
 	}
 }
@@ -83,7 +84,7 @@
 func (g *Group) targets(now clock.Millis) (near, far []netip.AddrPort) {
 	alive := g.living(now)
 	if g.isReader(now) {
-		return g.readerTargets(alive)
+		return g.readerTargets(now, alive)
 	}
 	for _, domain := range sortedKeys(alive) {
 		if domain != g.self.Domain {
@@ -94,7 +95,7 @@
 }
 
 // readerTargets picks VMs of all failure domains.
-func (g *Group) readerTargets(alive map[ident.DomainName][]netip.AddrPort) (near, far []netip.AddrPort) {
+func (g *Group) readerTargets(now clock.Millis, alive map[ident.DomainName][]netip.AddrPort) (near, far []netip.AddrPort) {
 	others := len(alive)
 	if len(alive[g.self.Domain]) > 0 {
 		others--
@@ -107,7 +108,24 @@
 		}
 		far = append(far, g.pick(alive[domain], each)...)
 	}
-	return near, far
+	return near, append(far, g.unheardTargets(now, alive, each)...)
+}
+
+// unheardTargets picks VMs of the failure domains of which fewer than each are
+// heard, among those that others named lately: a VM of a large fleet hears each
+// failure domain seldom.
+func (g *Group) unheardTargets(now clock.Millis, alive map[ident.DomainName][]netip.AddrPort, each int) (to []netip.AddrPort) {
+	named := make(map[ident.DomainName][]netip.AddrPort)
+	for _, m := range g.order {
+		recent := now-max(m.heard, m.named) < namedFor && !m.leaving
+		if recent && !m.alive(now) && m.peer.Domain != g.self.Domain {
+			named[m.peer.Domain] = append(named[m.peer.Domain], m.peer.Address)
+		}
+	}
+	for _, domain := range sortedKeys(named) {
+		to = append(to, g.pick(named[domain], max(0, each-len(alive[domain])))...)
+	}
+	return to
 }
 
 // living returns the addresses of the VMs that are heard, by failure domain.
