Check a first copy that is old, keep second copies of openings where the link is slow

A VM that starts may get its first copy from one that is cut off, and with a high rank would have believed it until 2.4 s of age, or 5 s while others say that they are not answered: the way in which others had a departed server in use again after a restart. And a second copy of an opening packet left an upstream that was only slow to answer through this VM's own link.

Change: for 3 s after its start a VM checks a copy of 1.2 s whatever its rank. The second copy goes elsewhere only if something sent later arrived.

Tests that failed before: TestOldFirstCopyIsChecked, TestSecondCopyLeavesUpstream with a link that holds all up.

--- a/amaranthd/entry/keeper_test.go
+++ b/amaranthd/entry/keeper_test.go
@@ -245,3 +245,20 @@
 		assert.Equal(t, reads == 1, packetsWait)
 	}
 }
+
+// TestOldFirstCopyIsChecked starts a VM whose first copy comes from one that is cut
+// off: an upstream that left or a route that was withdrawn may still be in it.
+func TestOldFirstCopyIsChecked(t *testing.T) {
+	f := &fakeSource{read: func() (replica.Update, error) { return full(8) }}
+	f.watch = func(context.Context, replica.Revision) (replica.Update, error) {
+		return replica.Update{After: 3, Complete: 8, Items: []replica.Item{version(8)}}, nil
+	}
+	k := newTestKeeper(f, func(*catalog.Catalog) {})
+	k.setRank(9, true)
+	u, _ := full(3)
+	k.apply(u, "other")
+	k.confirm(k.clk.Now() - 3000)
+	run(t, k)
+	time.Sleep(200 * time.Millisecond)
+	assert.Equal(t, k.held().Complete, replica.Revision(8))
+}
--- a/fleet/forward/engine_test.go
+++ b/fleet/forward/engine_test.go
@@ -115,6 +115,24 @@
 	}
 }
 
+// TestSecondCopyLeavesUpstream sends an opening packet and two copies that nobody
+// answers. The last one goes elsewhere, unless this VM's own link may hold all up.
+func TestSecondCopyLeavesUpstream(t *testing.T) {
+	for _, linkWorks := range []bool{false, true} {
+		e := New("vm", "a")
+		e.SetCatalog(published(1, 0, upstream(1, "web", "a"), upstream(2, "web", "a"), upstream(3, "api", "a")))
+		first := e.Handle(1000, opening(1, webAddress)).Name
+		copied := opening(1, webAddress)
+		copied.Copies = 1
+		assert.Equal(t, e.Handle(1200, copied).Name, first)
+		if linkWorks {
+			arrives(e, 1, 1210, 1215)
+		}
+		copied.Copies = 2
+		assert.Equal(t, e.Handle(1600, copied).Name != first, linkWorks)
+	}
+}
+
 // TestCopyLeavesSilentUpstream sends a copy after others waited in vain.
 func TestCopyLeavesSilentUpstream(t *testing.T) {
 	e := New("vm", "a")
--- a/fleet/forward/place.go
+++ b/fleet/forward/place.go
@@ -78,8 +78,8 @@
 }
 
 // copyElsewhereAfter is the wait after which a further copy of an opening packet
-// goes elsewhere: of an upstream that answers, the answer to the first packet and
-// to its copy were both lost, which is rare.
+// goes elsewhere, if something sent later arrived: of an upstream that answers, the
+// answers to the first packet and to its copy were both lost, which is rare.
 const copyElsewhereAfter clock.Millis = 400
 
 // again returns where a copy of an opening packet goes: to where the first one
@@ -95,7 +95,8 @@
 		return t
 	}
 	e.repeated(now, f, p)
-	if !t.entry.TakesNew(now) || !answers(t) || p.Copies > 1 && now-f.sentAt >= copyElsewhereAfter {
+	unanswered := p.Copies > 1 && now-f.sentAt >= copyElsewhereAfter && e.pathProved() > f.sentAt
+	if unanswered || !t.entry.TakesNew(now) || !answers(t) {
 		return nil
 	}
 	return t
--- a/fleet/replica/reading.go
+++ b/fleet/replica/reading.go
@@ -25,6 +25,9 @@
 	startWait clock.Millis = 300
 	startStep clock.Millis = 100
 	startMost clock.Millis = 1300
+	// youngFor is the time after its start in which a VM checks a copy that is old
+	// whatever its rank: it may have come from a VM that is cut off.
+	youngFor = 3 * clock.Second
 	// oldAfter is the age of the copy at which the VM next to the reader checks
 	// whether the reader still reads, and ageStep the wait of each further VM.
 	oldAfter clock.Millis = 1200
@@ -88,6 +91,8 @@
 // oldAge returns the age at which a copy is too old to wait for others.
 func (r *Reading) oldAge() clock.Millis {
 	switch {
+	case r.Started < youngFor:
+		return oldAfter
 	case r.Rank <= checkers:
 		return oldAfter + ageStep*clock.Millis(max(0, r.Rank-1))
 	case r.Away:
--- a/fleet/replica/reading_test.go
+++ b/fleet/replica/reading_test.go
@@ -20,18 +20,19 @@
 		{"a higher VM reads first", Reading{Rank: 3, Empty: true, Started: 499}, NoCall},
 		{"it did not", Reading{Rank: 3, Empty: true, Started: 500}, ReadAll},
 		{"the last of a large fleet", Reading{Rank: 200, Empty: true, Started: 1300}, ReadAll},
-		{"the reader follows", Reading{Rank: 0, Age: 5000}, Follow},
+		{"the reader follows", Reading{Rank: 0, Started: 9000, Age: 5000}, Follow},
 		{"the reader reads again", Reading{Rank: 0, Due: true}, ReadAll},
-		{"the copy is confirmed", Reading{Rank: 1, Age: 1199, Failed: true}, NoCall},
-		{"the reader may have stopped", Reading{Rank: 1, Age: 1200}, Check},
-		{"a failure may have hidden changes", Reading{Rank: 1, Age: 1200, Failed: true}, ReadAll},
-		{"the fourth checks last", Reading{Rank: 4, Age: 1949}, NoCall},
-		{"the fourth checks", Reading{Rank: 4, Age: 1950}, Check},
-		{"the others wait for word of these", Reading{Rank: 5, Age: 2399}, NoCall},
-		{"nobody is answered", Reading{Rank: 5, Age: 4999, Away: true}, NoCall},
-		{"nobody is answered for long", Reading{Rank: 5, Age: 5000, Away: true}, Check},
-		{"a checker asks nevertheless", Reading{Rank: 4, Age: 1950, Away: true}, Check},
-		{"no word came", Reading{Rank: 200, Age: 2400}, Check},
+		{"the copy is confirmed", Reading{Rank: 1, Started: 9000, Age: 1199, Failed: true}, NoCall},
+		{"the reader may have stopped", Reading{Rank: 1, Started: 9000, Age: 1200}, Check},
+		{"a failure may have hidden changes", Reading{Rank: 1, Started: 9000, Age: 1200, Failed: true}, ReadAll},
+		{"the fourth checks last", Reading{Rank: 4, Started: 9000, Age: 1949}, NoCall},
+		{"the fourth checks", Reading{Rank: 4, Started: 9000, Age: 1950}, Check},
+		{"the others wait for word of these", Reading{Rank: 5, Started: 9000, Age: 2399}, NoCall},
+		{"nobody is answered", Reading{Rank: 5, Started: 9000, Age: 4999, Away: true}, NoCall},
+		{"nobody is answered for long", Reading{Rank: 5, Started: 9000, Age: 5000, Away: true}, Check},
+		{"a checker asks nevertheless", Reading{Rank: 4, Started: 9000, Age: 1950, Away: true}, Check},
+		{"the first copy came from a VM that is cut off", Reading{Rank: 200, Started: 400, Age: 1200, Away: true}, Check},
+		{"no word came", Reading{Rank: 200, Started: 9000, Age: 2400}, Check},
 	}
 	for _, test := range tests {
 		assert.Equal(t, test.r.Next(), test.want, test.name)
@@ -45,7 +46,7 @@
 	for rank := 1; rank <= 295; rank++ {
 		failures, next := 0, clock.Millis(0)
 		for age := clock.Millis(0); age < 10*clock.Second; age += 50 {
-			r := Reading{Rank: rank, Age: age, Away: true}
+			r := Reading{Rank: rank, Started: 9000, Age: age, Away: true}
 			if age < next || r.Next() == NoCall {
 				continue
 			}
