Play experiments from a file in virtual time

Cause: ways to place flows and to judge upstreams were compared by tests written for each; nobody could try another fleet, load or fault.

Change: package experiment reads a TOML file (fleet, loads, faults, seeds, policies), plays it in the emulator with the real decisions, and writes a table, JSON or a plot; amaranthctl experiment is its command. Libraries: BurntSushi/toml and gonum/plot.

--- a/amaranthctl/main.go
+++ b/amaranthctl/main.go
@@ -1,5 +1,6 @@
 // Command amaranthctl is the operators' command: it checks and compares
-// configuration files, explains requests from logs and shows the state of daemons.
+// configuration files, explains requests from logs, shows the state of daemons and
+// plays experiments in virtual time.
 package main
 
 import (
@@ -20,10 +21,10 @@
 func command() *cli.Command {
 	return &cli.Command{
 		Name:  "amaranthctl",
-		Usage: "check configuration files and look at daemons",
+		Usage: "check configuration files, look at daemons, play experiments",
 		Description: "Exit status: 0 if all went well, 1 if a file is not acceptable, a daemon does not\n" +
 			"answer, a request is not found or the command line is wrong.",
 		EnableShellCompletion: true,
-		Commands:              []*cli.Command{checkCommand(), diffCommand(), explainCommand(), statusCommand()},
+		Commands:              []*cli.Command{checkCommand(), diffCommand(), experimentCommand(), explainCommand(), statusCommand()},
 	}
 }
--- a/amaranthctl/main_test.go
+++ b/amaranthctl/main_test.go
@@ -93,3 +93,25 @@
 	assert.NilError(t, err)
 	assert.Assert(t, strings.Contains(out, "amaranthctl"), out)
 }
+
+func TestExperiment(t *testing.T) {
+	data, err := os.ReadFile("../examples/dark-upstreams.toml")
+	assert.NilError(t, err)
+	small := strings.NewReplacer("seeds = [1, 2]", "seeds = [1]", "lengthMillis = 10000", "lengthMillis = 4000", "atMillis = 5000", "atMillis = 3500", "callers = 750", "callers = 50").Replace(string(data))
+	path := filepath.Join(t.TempDir(), "x.toml")
+	assert.NilError(t, os.WriteFile(path, []byte(small), 0o600))
+	plot := filepath.Join(t.TempDir(), "x.png")
+	out, err := runCommand(t, "", "experiment", "--plot", plot, path)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(out, "together") && strings.Contains(out, "hash"), out)
+	drawn, err := os.ReadFile(plot)
+	assert.NilError(t, err)
+	assert.Assert(t, bytes.HasPrefix(drawn, []byte("\x89PNG")))
+
+	assert.NilError(t, os.WriteFile(path, []byte(strings.Replace(small, "slots = 2", "slots = 0", 1)), 0o600))
+	_, err = runCommand(t, "", "experiment", path)
+	assert.ErrorContains(t, err, "x.toml")
+	assert.ErrorContains(t, err, "field fleet.slots")
+	_, err = runCommand(t, "", "experiment")
+	assert.ErrorContains(t, err, "takes one file")
+}
--- a/examples/doc.go
+++ b/examples/doc.go
@@ -1,5 +1,5 @@
 // Package examples holds a complete configuration file for each of the two
-// deployments that the project was made for.
+// deployments that the project was made for, and experiments for amaranthctl.
 package examples
 
 import _ "embed" // The files are embedded.
--- a/standin/emulator/emulator_test.go
+++ b/standin/emulator/emulator_test.go
@@ -228,14 +228,7 @@
 		w := New(s)
 		loads := startAll(w)
 		w.At(10_000, func() { w.Cut = func(a, b ident.DomainName) bool { return (a == "c") != (b == "c") } })
-		w.At(16_000, func() { w.Cut = func(ident.DomainName, ident.DomainName) bool { return false } })
-		w.At(16_500, func() {
-			for _, vm := range w.VMs {
-				for _, d := range s.Domains {
-					vm.Engine.PathBack(w.Now, d.Name)
-				}
-			}
-		})
+		w.At(16_000, w.Heal)
 		during := window(w, loads, 12_000, 16_000)
 		assert.Equal(t, w.WrongResets, 0, "seed %d", seed)
 		assert.Assert(t, served(during) >= 0.985, "seed %d: %+v", seed, during)
--- a/standin/emulator/world.go
+++ b/standin/emulator/world.go
@@ -251,6 +251,21 @@
 	})
 }
 
+// pathBackAfter is the time after which VMs notice that a partition has healed.
+const pathBackAfter clock.Millis = 500
+
+// Heal ends a partition.
+func (w *World) Heal() {
+	w.Cut = func(ident.DomainName, ident.DomainName) bool { return false }
+	w.after(pathBackAfter, func() {
+		for _, vm := range w.VMs {
+			for _, d := range w.setup.Domains {
+				vm.Engine.PathBack(w.Now, d.Name)
+			}
+		}
+	})
+}
+
 // At does something at a time, or now if that is past.
 func (w *World) At(at clock.Millis, do func()) {
 	w.order++
--- /dev/null
+++ b/standin/experiment/report.go
@@ -0,0 +1,122 @@
+package experiment
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/rotisserie/eris"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+const (
+	plotWidth  = 18 * vg.Centimeter
+	plotHeight = 9 * vg.Centimeter
+)
+
+// Counts are requests by what became of them.
+type Counts struct {
+	InAim  int `json:"inAim"`
+	Late   int `json:"late"`
+	Failed int `json:"failed"`
+}
+
+func (c Counts) minus(other Counts) Counts {
+	return Counts{InAim: c.InAim - other.InAim, Late: c.Late - other.Late, Failed: c.Failed - other.Failed}
+}
+
+func (c Counts) plus(other Counts) Counts {
+	return Counts{InAim: c.InAim + other.InAim, Late: c.Late + other.Late, Failed: c.Failed + other.Failed}
+}
+
+// InAimShare returns the share of the requests that were answered in time, 1 if
+// there were none.
+func (c Counts) InAimShare() float64 { return share(c.InAim, c) }
+
+// ServedShare returns the share of the requests that were answered.
+func (c Counts) ServedShare() float64 { return share(c.InAim+c.Late, c) }
+
+func share(n int, of Counts) float64 {
+	all := of.InAim + of.Late + of.Failed
+	if all == 0 {
+		return 1
+	}
+	return float64(n) / float64(all)
+}
+
+// Result is what callers got under one policy, over all seeds.
+type Result struct {
+	Policy string `json:"policy"`
+	Sum    Counts `json:"sum"`
+	// Steps are the counts second by second.
+	Steps []Counts `json:"steps"`
+	// Resets counts flows that VMs reset, WrongResets those whose upstream lived.
+	Resets      int `json:"resets"`
+	WrongResets int `json:"wrongResets"`
+}
+
+func (r *Result) add(step int, c Counts) {
+	for len(r.Steps) <= step {
+		r.Steps = append(r.Steps, Counts{})
+	}
+	r.Steps[step] = r.Steps[step].plus(c)
+	r.Sum = r.Sum.plus(c)
+}
+
+// worst returns the least share in time of any second.
+func (r *Result) worst() float64 {
+	least := 1.0
+	for _, c := range r.Steps {
+		least = min(least, c.InAimShare())
+	}
+	return least
+}
+
+// Report holds the results of all policies.
+type Report struct {
+	Results []Result `json:"results"`
+}
+
+// Table writes the report as a table.
+func (r *Report) Table(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(t, "policy\tin aim\tserved\tworst second\tin aim\tlate\tfailed\tresets\twrong")
+	for i := range r.Results {
+		x := &r.Results[i]
+		_, _ = fmt.Fprintf(t, "%s\t%.4f\t%.4f\t%.4f\t%d\t%d\t%d\t%d\t%d\n", x.Policy, x.Sum.InAimShare(), x.Sum.ServedShare(),
+			x.worst(), x.Sum.InAim, x.Sum.Late, x.Sum.Failed, x.Resets, x.WrongResets)
+	}
+	return eris.Wrap(t.Flush(), "experiment: write table")
+}
+
+// JSON writes the report with its steps as JSON.
+func (r *Report) JSON(w io.Writer) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	return eris.Wrap(enc.Encode(r), "experiment: write JSON")
+}
+
+// Plot draws the share of requests in time over the seconds to a file, whose ending
+// tells the format (svg, png or pdf).
+func (r *Report) Plot(path string) (err error) {
+	defer func() { err = eris.Wrapf(err, "experiment: plot %s", path) }()
+	p := plot.New()
+	p.X.Label.Text, p.Y.Label.Text = "seconds", "share in aim"
+	p.Legend.Top = false
+	var lines []any
+	for i := range r.Results {
+		points := make(plotter.XYs, len(r.Results[i].Steps))
+		for j, c := range r.Results[i].Steps {
+			points[j] = plotter.XY{X: float64(j + 1), Y: c.InAimShare()}
+		}
+		lines = append(lines, r.Results[i].Policy, points)
+	}
+	if err = plotutil.AddLinePoints(p, lines...); err != nil {
+		return err
+	}
+	return p.Save(plotWidth, plotHeight, path)
+}
