--- a/amaranthd/daemon/daemon.go
+++ b/amaranthd/daemon/daemon.go
@@ -13,7 +13,7 @@
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/fabric"
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/holder"
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/operator"
-	"github.com/amaranthswitch/amaranthswitch/amaranthd/platform"
+	"github.com/amaranthswitch/amaranthswitch/amaranthd/publisher"
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/rpc"
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/settings"
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/teardown"
@@ -29,18 +29,18 @@
 
 // Daemon is the daemon of one VM.
 type Daemon struct {
-	control  *Control
-	engine   *steering.Engine
-	path     *fabric.Path
-	socket   *vm.Socket
-	server   *rpc.Server
-	pool     *rpc.Pool
-	platform *platform.Client
-	holder   *holder.Holder
-	prober   *upstream.Prober
-	gateway  *caller.Gateway
+	control   *Control
+	engine    *steering.Engine
+	path      *fabric.Path
+	socket    *vm.Socket
+	server    *rpc.Server
+	pool      *rpc.Pool
+	publisher *publisher.Client
+	holder    *holder.Holder
+	prober    *upstream.Prober
+	gateway   *caller.Gateway
 
-	platformDown atomic.Bool
+	publisherDown atomic.Bool
 }
 
 // Option configures a Daemon.
@@ -77,7 +77,7 @@
 	provide(provideSocket)
 	provide(providePool)
 	provide(provideServer)
-	provide(providePlatform)
+	provide(providePublisher)
 	provide(newControl)
 	provide(providePath)
 	provide(provideTracer)
@@ -130,8 +130,8 @@
 	return s, err
 }
 
-func providePlatform(set *settings.Settings, clean *teardown.List) *platform.Client {
-	c, cleanup := platform.New(set.Platform, set.Timers.WatchMillis, set.Timers.WatchRetryMillis)
+func providePublisher(set *settings.Settings, clean *teardown.List) *publisher.Client {
+	c, cleanup := publisher.New(set.Platform, set.Timers.WatchMillis, set.Timers.WatchRetryMillis)
 	clean.Add(cleanup)
 	return c
 }
@@ -176,23 +176,23 @@
 type parts struct {
 	dig.In
 
-	Control  *Control
-	Engine   *steering.Engine
-	Path     *fabric.Path
-	Socket   *vm.Socket
-	Server   *rpc.Server
-	Pool     *rpc.Pool
-	Platform *platform.Client
-	Holder   *holder.Holder
-	Prober   *upstream.Prober
-	Gateway  *caller.Gateway
-	Operator *operator.Server
+	Control   *Control
+	Engine    *steering.Engine
+	Path      *fabric.Path
+	Socket    *vm.Socket
+	Server    *rpc.Server
+	Pool      *rpc.Pool
+	Publisher *publisher.Client
+	Holder    *holder.Holder
+	Prober    *upstream.Prober
+	Gateway   *caller.Gateway
+	Operator  *operator.Server
 }
 
 func newDaemon(p parts) *Daemon {
 	d := &Daemon{
 		control: p.Control, engine: p.Engine, path: p.Path, socket: p.Socket, server: p.Server, pool: p.Pool,
-		platform: p.Platform, holder: p.Holder, prober: p.Prober, gateway: p.Gateway,
+		publisher: p.Publisher, holder: p.Holder, prober: p.Prober, gateway: p.Gateway,
 	}
 	p.Server.Handle(vm.GetConfig, p.Control.serveConfig)
 	p.Server.Handle(vm.HandOver, p.Control.serveHandOver)
@@ -230,8 +230,8 @@
 	go forward(workers, n, ended)
 	go forward(d.socket.Run(work), 1, ended)
 	go func() { ended <- c.run(work) }()
-	go func() { ended <- d.watch(work, platform.ConfigKey, c.watches, c.published) }()
-	go func() { ended <- d.watch(work, platform.VMsKey, always, c.listPublished) }()
+	go func() { ended <- d.watch(work, publisher.ConfigKey, c.watches, c.published) }()
+	go func() { ended <- d.watch(work, publisher.VMsKey, always, c.listPublished) }()
 	go func() { ended <- d.holder.Run(work) }()
 	go func() { ended <- d.prober.Run(work) }()
 	go func() { ended <- d.gateway.Run() }()
@@ -271,17 +271,17 @@
 }
 
 // watch follows a value of the platform and notes when it fails and returns.
-func (d *Daemon) watch(ctx context.Context, key platform.Key, allowed func() bool, got func(context.Context, []byte)) error {
+func (d *Daemon) watch(ctx context.Context, key publisher.Key, allowed func() bool, got func(context.Context, []byte)) error {
 	c := d.control
-	d.platform.Watch(ctx, key, allowed,
+	d.publisher.Watch(ctx, key, allowed,
 		func(body []byte) {
-			if d.platformDown.Swap(false) {
+			if d.publisherDown.Swap(false) {
 				event.Log(ctx, c.log, event.PlatformBack)
 			}
 			got(ctx, body)
 		},
 		func(err error) {
-			if !d.platformDown.Swap(true) {
+			if !d.publisherDown.Swap(true) {
 				event.Log(ctx, c.log, event.PlatformDown, slog.String("key", string(key)), slog.String("error", err.Error()))
 			}
 		})
--- a/amaranthd/daemon/metrics.go
+++ b/amaranthd/daemon/metrics.go
@@ -25,7 +25,7 @@
 		"amaranth_flow_questions_total":      st.Asked.Load,
 		"amaranth_flow_copies_total":         st.Copies.Load,
 		"amaranth_flow_handovers_total":      st.Handovers.Load,
-		"amaranth_platform_calls_total":      d.platform.Calls,
+		"amaranth_platform_calls_total":      d.publisher.Calls,
 		"amaranth_config_version":            func() int64 { return int64(d.engine.Version()) },
 		"amaranth_calls_bytes_out_total":     d.pool.BytesOut.Load,
 		"amaranth_calls_bytes_in_total":      d.pool.BytesIn.Load,
--- a/amaranthd/entry/paths.go
+++ b/amaranthd/entry/paths.go
@@ -48,7 +48,7 @@
 			continue
 		}
 		p.cut[domain] = cut
-		p.engine.SetUnheard(domain, cut)
+		p.engine.SetPartitioned(domain, cut)
 		if !cut {
 			p.engine.PathBack(now, domain)
 		}
--- a/amaranthd/platform/doc.go
+++ /dev/null
@@ -1,3 +0,0 @@
-// Package platform reads the users' configuration service by blocking
-// queries.
-package platform
--- a/amaranthd/platform/client.go
+++ b/amaranthd/publisher/client.go
@@ -1,4 +1,4 @@
-package platform
+package publisher
 
 import (
 	"context"
@@ -87,7 +87,7 @@
 }
 
 func (c *Client) query(ctx context.Context, key Key, index uint64) (body []byte, at uint64, err error) {
-	defer func() { err = eris.Wrapf(err, "platform: query %s", key) }()
+	defer func() { err = eris.Wrapf(err, "publisher: query %s", key) }()
 	c.calls.Add(1)
 	wait := clock.Millis(0)
 	if index > 0 {
--- /dev/null
+++ b/amaranthd/publisher/doc.go
@@ -0,0 +1,3 @@
+// Package publisher reads the users' configuration service by blocking
+// queries.
+package publisher
--- a/fleet/forward/engine.go
+++ b/fleet/forward/engine.go
@@ -282,13 +282,13 @@
 	return taking
 }
 
-// SetUnheard sets whether no VM of a failure domain is heard, so that new flows
+// SetPartitioned sets whether no VM of a failure domain is heard, so that new flows
 // better go elsewhere.
-func (e *Engine) SetUnheard(domain ident.DomainName, unheard bool) {
+func (e *Engine) SetPartitioned(domain ident.DomainName, partitioned bool) {
 	e.mu.Lock()
 	h := e.domainHealth(domain)
 	e.mu.Unlock()
-	h.setUnheard(unheard)
+	h.setPartitioned(partitioned)
 }
 
 // PathBack forgets what was held against a failure domain and its upstreams
--- a/fleet/forward/engine_test.go
+++ b/fleet/forward/engine_test.go
@@ -488,6 +488,6 @@
 	e := New("vm", "a")
 	e.SetCatalog(published(1, 0, upstream(1, "web", "b")))
 	assert.Assert(t, !e.Stranded(1000))
-	e.SetUnheard("b", true)
+	e.SetPartitioned("b", true)
 	assert.Assert(t, e.Stranded(1000))
 }
--- a/fleet/forward/health.go
+++ b/fleet/forward/health.go
@@ -50,8 +50,8 @@
 	trialBackoff clock.Millis
 	// shared is what VMs put together.
 	shared shared
-	// unheard is set while no VM of a failure domain is heard.
-	unheard bool
+	// partitioned is set while no VM of a failure domain is heard.
+	partitioned bool
 }
 
 // answered records that something sent at the given time arrived, and returns
@@ -126,25 +126,25 @@
 	return sentAt < h.proved
 }
 
-// setUnheard sets whether no VM of the failure domain is heard.
-func (h *health) setUnheard(unheard bool) {
+// setPartitioned sets whether no VM of the failure domain is heard.
+func (h *health) setPartitioned(partitioned bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.unheard = unheard
+	h.partitioned = partitioned
 }
 
 // avoided reports whether new flows better go elsewhere.
 func (h *health) avoided() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.unheard || h.cond == lost
+	return h.partitioned || h.cond == lost
 }
 
 // reached reports whether nothing speaks against a path to the failure domain.
 func (h *health) reached() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return !h.unheard && h.cond == answering
+	return !h.partitioned && h.cond == answering
 }
 
 // condition returns what is believed.
--- a/fleet/gossip/round.go
+++ b/fleet/gossip/round.go
@@ -108,13 +108,13 @@
 		}
 		far = append(far, g.pick(alive[domain], each)...)
 	}
-	return near, append(far, g.unheardTargets(now, alive, each)...)
+	return near, append(far, g.namedTargets(now, alive, each)...)
 }
 
-// unheardTargets picks VMs of the failure domains of which fewer than each are
+// namedTargets picks VMs of the failure domains of which fewer than each are
 // heard, among those that others named lately: a VM of a large fleet hears each
 // failure domain seldom.
-func (g *Group) unheardTargets(now clock.Millis, alive map[ident.DomainName][]netip.AddrPort, each int) (to []netip.AddrPort) {
+func (g *Group) namedTargets(now clock.Millis, alive map[ident.DomainName][]netip.AddrPort, each int) (to []netip.AddrPort) {
 	named := make(map[ident.DomainName][]netip.AddrPort)
 	for _, m := range g.order {
 		recent := now-max(m.heard, m.named) < namedFor && !m.leaving
