Look no longer at upstreams of which only an old lost packet is told

Cause: found by reading. A VM kept an upstream under review until it saw an answer itself, which in a large fleet takes long: up to all upstreams, 20 times a second.

Change: one whose stalls have expired is dropped from the list; what is believed of it does not change. TestLostPacketsAreForgotten failed before.

--- a/fleet/forward/suspicion.go
+++ b/fleet/forward/suspicion.go
@@ -168,7 +168,7 @@
 // upstreams, which they have not been told yet. It also concludes what time alone
 // brings.
 func (e *Engine) Suspicions(now clock.Millis) (list []Suspicion) {
-	for token, t := range e.suspected() {
+	for token, t := range e.suspected(now) {
 		before, after := t.load.health.review(now)
 		e.report(now, t, Belief{Told: true}, before, after)
 		if len(list) == maxTold {
@@ -230,13 +230,13 @@
 
 // suspected returns the upstreams that are looked at again, and forgets those
 // that nothing speaks against any more.
-func (e *Engine) suspected() map[catalog.Token]*target {
+func (e *Engine) suspected(now clock.Millis) map[catalog.Token]*target {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	list := make(map[catalog.Token]*target, len(e.suspects))
 	for token, t := range e.suspects {
 		list[token] = t
-		if t.load.health.settled() {
+		if t.load.health.settled(now) {
 			delete(e.suspects, token)
 		}
 	}
@@ -245,8 +245,8 @@
 
 // settled reports whether nothing speaks against the upstream and nothing is to
 // be told of it.
-func (h *health) settled() bool {
+func (h *health) settled(now clock.Millis) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.cond == answering && len(h.shared.stalls) == 0 && !h.shared.pending
+	return h.cond == answering && now-h.shared.newest() > stallLife && !h.shared.pending
 }
--- a/fleet/forward/suspicion_test.go
+++ b/fleet/forward/suspicion_test.go
@@ -138,3 +138,22 @@
 	e.TakeSuspicions(2, word)
 	assert.Equal(t, len(e.Suspicions(3)), 0)
 }
+
+// TestLostPacketsAreForgotten tells of a single stall of each of many upstreams,
+// which must not be looked at for ever.
+func TestLostPacketsAreForgotten(t *testing.T) {
+	e := New("vm", "a")
+	var list []catalog.Upstream
+	for i := range 50 {
+		list = append(list, upstream(i+1, "web", "a"))
+	}
+	e.SetCatalog(published(1, 0, list...))
+	for token := range e.view.Load().tokens {
+		e.TakeSuspicions(2000, []Suspicion{{Token: token, Stalls: []Stall{{Flow: 1, SentAt: 1800}}}})
+	}
+	e.Suspicions(2050)
+	e.Suspicions(2100)
+	assert.Assert(t, len(e.suspects) >= 50)
+	e.Suspicions(1800 + stallLife + 1)
+	assert.Equal(t, len(e.suspects), 0)
+}
--- a/fleet/gossip/round.go
+++ b/fleet/gossip/round.go
@@ -61,7 +61,8 @@
 	alive := g.living(now)
 	to := g.pick(alive[g.self.Domain], newsEach)
 	if g.isReader(now) {
-		to = slices.Concat(g.readerTargets(now, alive))
+		near, far := g.readerTargets(now, alive)
+		to = slices.Concat(near, far)
 	}
 	for _, to := range to {
 		msg := g.message(now, held)
