--- a/fleet/gossip/group_test.go
+++ b/fleet/gossip/group_test.go
@@ -108,6 +108,7 @@
 
 // TestRoundIsBounded measures what a VM sends in a large fleet.
 func TestRoundIsBounded(t *testing.T) {
+	t.Parallel()
 	f := newFleet(470, 8, 0, 1, 2)
 	f.rounds(40)
 	f.sent = 0
@@ -138,6 +139,7 @@
 // off, or its own for alone. A VM of a large fleet seldom hears each failure
 // domain itself.
 func TestDomainsAreHeard(t *testing.T) {
+	t.Parallel()
 	for _, size := range []struct{ vms, domains int }{{7, 3}, {65, 3}, {295, 5}, {470, 8}} {
 		f := newFleet(size.vms, size.domains, 0, 1, 2)
 		f.rounds(60)
@@ -198,6 +200,7 @@
 // hears few of them directly, and again after that one died, left or lost the
 // source.
 func TestOneReaderInALargeFleet(t *testing.T) {
+	t.Parallel()
 	for _, size := range []struct{ vms, domains int }{{90, 4}, {470, 8}} {
 		f := newFleet(size.vms, size.domains, 0, 1, 2)
 		f.rounds(80)
@@ -239,6 +242,7 @@
 // TestFewReadersAtTheStart starts fleets and counts the VMs that ever take
 // themselves for the reader, each of which calls the publisher.
 func TestFewReadersAtTheStart(t *testing.T) {
+	t.Parallel()
 	for _, size := range []struct{ vms, domains int }{{65, 3}, {295, 5}} {
 		f := newFleet(size.vms, size.domains, 0, 1, 2)
 		readers := make(map[netip.AddrPort]bool)
@@ -259,6 +263,7 @@
 // until all VMs have it, at moments when the reader has not heard some failure
 // domain for seconds.
 func TestNewsReachesAllDomains(t *testing.T) {
+	t.Parallel()
 	f := newFleet(470, 8, 0, 1, 2)
 	f.rounds(76)
 	for range 6 {
--- a/fleet/gossip/suspicion_test.go
+++ b/fleet/gossip/suspicion_test.go
@@ -16,6 +16,7 @@
 // TestSpreadGoesAroundTheDomain tells one VM of a large fleet of an upstream and
 // counts the hops until its failure domain knows.
 func TestSpreadGoesAroundTheDomain(t *testing.T) {
+	t.Parallel()
 	f := newFleet(470, 8, 0, 1, 2)
 	f.rounds(40)
 	list := []Suspicion{{Token: 7, Wide: true, Stalls: []Stall{{Flow: 1, Age: 200}}}}
--- a/standin/emulator/emulator_test.go
+++ b/standin/emulator/emulator_test.go
@@ -67,6 +67,7 @@
 // TestLossAlone loses packets on every path, and nothing else: no flow may be
 // reset.
 func TestLossAlone(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(8) {
 		s := workshop(seed)
 		s.Loss = 0.002
@@ -95,6 +96,7 @@
 // TestDarkUpstream takes the power from an upstream. It stays published for
 // three heartbeats; what waits for it must be tried elsewhere.
 func TestDarkUpstream(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(8) {
 		w := New(workshop(seed))
 		loads := startAll(w)
@@ -121,6 +123,7 @@
 // of another failure domain use, as on the workshop's day trouble-1. Flows to
 // its neighbours go on.
 func TestDarkUpstreamSparesItsDomain(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(8) {
 		s := workshop(seed)
 		s.Policy = forward.HashPolicy()
@@ -162,6 +165,7 @@
 // a fleet of 295 VMs, as on its day trouble-2. They stay published for three
 // heartbeats. VMs that put together what they see serve more.
 func TestDarkUpstreamsOfALargeFleet(t *testing.T) {
+	t.Parallel()
 	play := func(alone bool) (sum Load) {
 		s := largeFleet(1)
 		s.Alone, s.Loss = alone, 0.002
@@ -194,6 +198,7 @@
 // TestLossAloneInALargeFleet loses packets and nothing else: no flow may be reset
 // for what VMs tell each other.
 func TestLossAloneInALargeFleet(t *testing.T) {
+	t.Parallel()
 	s := largeFleet(3)
 	s.Loss = 0.004
 	w := New(s)
@@ -209,6 +214,7 @@
 // TestSlowUpstream makes an upstream so slow that requests queue and are shed.
 // It answers, so its flows stay.
 func TestSlowUpstream(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(8) {
 		w := New(workshop(seed))
 		loads := startAll(w)
@@ -222,6 +228,7 @@
 // TestCutDomain separates a failure domain from the others. Its callers are
 // served by its own upstreams, and afterwards by all again.
 func TestCutDomain(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(8) {
 		s := workshop(seed)
 		s.Policy = forward.HashPolicy() // two of three flows cross the cut
