--- a/amaranthd/entry/peers.go
+++ b/amaranthd/entry/peers.go
@@ -119,15 +119,16 @@
 	confirmed := p.group.ConfirmedAt(held.Complete)
 	p.mu.Unlock()
 	p.send(out)
-	if msg.From.Domain == p.domain && len(msg.Suspicions) > 0 {
-		now := p.clk.Now()
-		p.heard.Add(int64(len(msg.Suspicions)))
-		p.engine.TakeSuspicions(now, timesOf(now, waited, msg.Suspicions))
-	}
+	p.takeSuspicions(&msg, waited)
 	p.keeper.confirm(confirmed)
 	if askAll {
 		p.exchange.want(pull{from: msg.From})
 	}
+	p.takeNews(&msg, held)
+}
+
+// takeNews takes the change that a message carries, or asks for what it only tells of.
+func (p *peers) takeNews(msg *gossip.Message, held gossip.Copy) {
 	if msg.News != nil && msg.News.After <= held.Complete && msg.News.Complete > held.Complete {
 		p.keeper.apply(*msg.News, string(msg.From.ID))
 		return
--- a/amaranthd/entry/suspicions.go
+++ b/amaranthd/entry/suspicions.go
@@ -22,6 +22,17 @@
 	p.send(out)
 }
 
+// takeSuspicions takes what a VM of the own failure domain tells. waited is how long
+// the message may have waited for this VM.
+func (p *peers) takeSuspicions(msg *gossip.Message, waited clock.Millis) {
+	if msg.From.Domain != p.domain || len(msg.Suspicions) == 0 {
+		return
+	}
+	p.heard.Add(int64(len(msg.Suspicions)))
+	now := p.clk.Now()
+	p.engine.TakeSuspicions(now, timesOf(now, waited, msg.Suspicions))
+}
+
 // agesOf turns times of this VM's clock into ages.
 func agesOf(now clock.Millis, list []forward.Suspicion) []gossip.Suspicion {
 	told := make([]gossip.Suspicion, len(list))
