--- a/fleet/forward/engine.go
+++ b/fleet/forward/engine.go
@@ -273,7 +273,7 @@
 			if !t.entry.TakesNew(now) {
 				continue
 			}
-			if answers(t) && (e.isLocal(t) || t.domain.reached()) {
+			if answers(t) && (e.isLocal(t) || t.domain.reachable()) {
 				return false
 			}
 			taking = true
--- a/fleet/forward/health.go
+++ b/fleet/forward/health.go
@@ -79,8 +79,8 @@
 	}
 }
 
-// beSilent ends new flows but trials. The caller holds mu.
-func (h *health) beSilent(now clock.Millis) {
+// markSilent ends new flows but trials. The caller holds mu.
+func (h *health) markSilent(now clock.Millis) {
 	h.cond = silent
 	h.trialBackoff = firstTrial
 	h.nextTrial = now + firstTrial
@@ -110,7 +110,7 @@
 		return before, before
 	}
 	if h.stalled >= silentFlows && h.cond == answering {
-		h.beSilent(now)
+		h.markSilent(now)
 	}
 	if h.stalled >= lostFlows && now-h.proved >= lostAfter && pathProved > h.stalledSent {
 		h.cond = lost
@@ -140,8 +140,8 @@
 	return h.partitioned || h.cond == lost
 }
 
-// reached reports whether nothing speaks against a path to the failure domain.
-func (h *health) reached() bool {
+// reachable reports whether nothing speaks against a path to the failure domain.
+func (h *health) reachable() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return !h.partitioned && h.cond == answering
--- a/fleet/forward/suspicion.go
+++ b/fleet/forward/suspicion.go
@@ -103,7 +103,7 @@
 		h.shared.drop(now, h.proved)
 		h.shared.add(now, stall)
 	}
-	h.judge(now)
+	h.conclude(now)
 	return before, h.cond
 }
 
@@ -127,15 +127,15 @@
 		}
 		h.shared.add(now, stall)
 	}
-	h.judge(now)
+	h.conclude(now)
 	return before, h.cond
 }
 
-// judge concludes from what VMs put together. The caller holds mu.
-func (h *health) judge(now clock.Millis) {
+// conclude draws conclusions from what VMs put together. The caller holds mu.
+func (h *health) conclude(now clock.Millis) {
 	n := len(h.shared.stalls)
 	if n >= silentFlows && h.cond == answering {
-		h.beSilent(now)
+		h.markSilent(now)
 	}
 	if n >= lostFlows && h.cond == silent && now-h.proved >= lostAfter && now-h.shared.enoughAt >= settleAfter {
 		h.cond = lost
@@ -147,7 +147,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	before = h.cond
-	h.judge(now)
+	h.conclude(now)
 	return before, h.cond
 }
 
