--- a/fleet/forward/doc.go
+++ b/fleet/forward/doc.go
@@ -9,7 +9,9 @@
 //
 // Upstreams are judged by what passes: a caller that sends the same data again
 // got no acknowledgement, one that acknowledges more got an answer (outlier
-// ejection by passive health checks). New flows go to the least loaded upstream
+// ejection by passive health checks). In a large fleet no VM sees enough of an
+// upstream, so the VMs of a failure domain put together what they see, as
+// Suspicions that merge in any order. New flows go to the least loaded upstream
 // of the own failure domain while it has room, and to other failure domains
 // when the difference in load exceeds a penalty.
 package forward
