Compute news only when there are any, reuse the list of neighbours

Found by the last read of the change: every answer of the source walked the whole copy for news that were not told; the neighbours were listed in two more places; a result was returned that nobody read.

--- a/amaranthd/entry/keeper.go
+++ b/amaranthd/entry/keeper.go
@@ -136,7 +136,10 @@
 	}
 	// What changed now is not enough: pages of a read may hold items that are newer
 	// than it, which others lack.
-	news := k.replica.Since(before)
+	var news replica.Update
+	if complete > before {
+		news = k.replica.Since(before)
+	}
 	k.mu.Unlock()
 	for i := range changed {
 		event.Log(context.Background(), k.log, event.ItemChanged,
--- a/amaranthd/entry/paths.go
+++ b/amaranthd/entry/paths.go
@@ -10,16 +10,6 @@
 	"github.com/amaranthswitch/amaranthswitch/fleet/ident"
 )
 
-// inDomain counts the VMs of a failure domain.
-func inDomain(list []gossip.Peer, domain ident.DomainName) (n int) {
-	for _, peer := range list {
-		if peer.Domain == domain {
-			n++
-		}
-	}
-	return n
-}
-
 // otherDomains returns the failure domains of the fleet but the own one.
 func otherDomains(set *Settings) (far []ident.DomainName) {
 	for _, d := range set.Domains {
--- a/amaranthd/entry/peers.go
+++ b/amaranthd/entry/peers.go
@@ -164,7 +164,7 @@
 	_, behind := p.group.Ahead(now, held.Complete)
 	near := 1
 	if p.group.TellsLoads(now) {
-		near += inDomain(alive, p.domain)
+		near = len(neighbours)
 	}
 	p.mu.Unlock()
 	p.send(out)
--- a/fleet/forward/suspicion.go
+++ b/fleet/forward/suspicion.go
@@ -55,15 +55,14 @@
 	wide, pending bool
 }
 
-// add takes a stall that is newer than the newest proof. It reports whether it is
-// news.
-func (s *shared) add(now clock.Millis, stall Stall) (news bool) {
+// add takes a stall that is newer than the newest proof, if it is news.
+func (s *shared) add(now clock.Millis, stall Stall) {
 	if now-stall.SentAt > stallLife || len(s.stalls) >= maxStalls {
-		return false
+		return
 	}
 	for _, known := range s.stalls {
 		if known.Flow == stall.Flow {
-			return false
+			return
 		}
 	}
 	s.stalls = append(s.stalls, stall)
@@ -72,7 +71,6 @@
 	}
 	s.pending = true
 	s.wide = s.wide || len(s.stalls) >= silentFlows
-	return true
 }
 
 // newest returns when the newest of the stalled flows sent, 0 if there is none.
--- a/fleet/gossip/suspicion.go
+++ b/fleet/gossip/suspicion.go
@@ -39,11 +39,7 @@
 // is news to them.
 func (g *Group) Spread(now clock.Millis, held Copy, list []Suspicion, judges Judges) (out []Send) {
 	near := g.near(now)
-	ids := make([]ident.VMID, 0, len(near)+1)
-	for _, m := range near {
-		ids = append(ids, m.peer.ID)
-	}
-	ids = append(ids, g.self.ID)
+	ids := g.Neighbours(now)
 	narrow := make(map[ident.VMID][]Suspicion)
 	var wide []Suspicion
 	for i := range list {
