Tell reads from watches in the log, and how long changes wait for the catalog

The logs could not tell whether a change was missed by a watch, arrived late at a VM, or arrived in time and waited there: itemChanged named only 'source', and catalogTaken not the age of the changes in it.

Change: itemChanged says read or watch; catalogTaken says pendingMillis and buildMillis; amaranth_entry_activation_seconds counts the times from arrival to the catalog that holds the change. No decision changes.

--- a/amaranthd/entry/daemon.go
+++ b/amaranthd/entry/daemon.go
@@ -53,10 +53,10 @@
 	leaving      atomic.Bool
 }
 
-// latencyObservers receive latencies measured by the engine. They are set before
-// the first packet and not changed after that.
+// latencyObservers receive latencies measured by the engine and by the replicator.
+// They are set before the first packet and not changed after that.
 type latencyObservers struct {
-	opened, answered func(took clock.Millis)
+	opened, answered, activated func(took clock.Millis)
 }
 
 // Option configures a Daemon.
@@ -105,7 +105,8 @@
 		func() *slog.Logger { return log.With(slog.String("vm", string(settings.VM))) },
 		func() *teardown.List { return cleanups },
 		func() *latencyObservers {
-			return &latencyObservers{opened: func(clock.Millis) {}, answered: func(clock.Millis) {}}
+			ignore := func(clock.Millis) {}
+			return &latencyObservers{opened: ignore, answered: ignore, activated: ignore}
 		},
 		providePauseDetector, provideEngine, provideReplicator, provideDataPath, providePool, provideServer, providePeers, newDaemon,
 	} {
@@ -130,15 +131,14 @@
 
 func providePauseDetector(o *options) *pauseDetector { return newPauseDetector(o.clk, time.Now) }
 
-func provideReplicator(settings *Settings, a *Adapter, o *options, pauses *pauseDetector, engine *forward.Engine, log *slog.Logger) *replicator {
+func provideReplicator(settings *Settings, a *Adapter, o *options, pauses *pauseDetector, engine *forward.Engine, obs *latencyObservers, log *slog.Logger) *replicator {
 	publish := func(c *catalog.Catalog) {
 		engine.SetCatalog(c)
 		pauses.markVerified(0) // at the start a copy from another VM is sufficient
-		event.Log(context.Background(), log, event.CatalogTaken, slog.Uint64("version", uint64(c.Config.Version)),
-			slog.Uint64("revision", uint64(c.Revision)), slog.Int("routes", len(c.Config.Routes)),
-			slog.Int("upstreams", c.UpstreamCount()), slog.Any("domainsOut", c.DomainsOut()))
 	}
-	return newReplicator(a, o.clk, pauses, log, settings.HeartbeatMillis, publish)
+	r := newReplicator(a, o.clk, pauses, log, settings.HeartbeatMillis, publish)
+	r.onActive = func(pending clock.Millis) { obs.activated(pending) }
+	return r
 }
 
 func provideDataPath(conn *net.UDPConn, a *Adapter, engine *forward.Engine, r *replicator, o *options, pauses *pauseDetector, log *slog.Logger) *dataPath {
--- a/amaranthd/entry/metrics.go
+++ b/amaranthd/entry/metrics.go
@@ -12,6 +12,9 @@
 const (
 	openingHistogram = "amaranth_entry_opening_seconds"
 	answerHistogram  = "amaranth_entry_answer_seconds"
+	// activationHistogram counts the times from the arrival of a change of the
+	// published items to the catalog that holds it.
+	activationHistogram = "amaranth_entry_activation_seconds"
 )
 
 // registerMetrics registers the gauges of the daemon with s and sends latencies to
@@ -49,6 +52,7 @@
 	}
 	d.latencies.opened = func(took clock.Millis) { s.Observe(openingHistogram, took.Seconds()) }
 	d.latencies.answered = func(took clock.Millis) { s.Observe(answerHistogram, took.Seconds()) }
+	d.latencies.activated = func(took clock.Millis) { s.Observe(activationHistogram, took.Seconds()) }
 }
 
 func boolToFloat(b bool) float64 {
--- a/amaranthd/entry/replicator.go
+++ b/amaranthd/entry/replicator.go
@@ -47,6 +47,12 @@
 	ageCheckInterval clock.Millis = 50
 )
 
+// Origins of updates in the log, in addition to the identifiers of other VMs.
+const (
+	fromRead  = "read"
+	fromWatch = "watch"
+)
+
 // replicator maintains the copy of the published items and the catalog built from
 // it. The reader of the group watches the source. The other VMs receive changes
 // from it by gossip, and call the source only when no VM confirms their copy any
@@ -60,6 +66,9 @@
 	setCatalog func(c *catalog.Catalog)
 	// onUpdate is called with the changes after each increase of the revision.
 	onUpdate func(u *replica.Update)
+	// onActive is called after each build with the time for which the oldest change in
+	// it was pending.
+	onActive func(pending clock.Millis)
 
 	mu      sync.Mutex
 	replica *replica.Replica
@@ -69,6 +78,9 @@
 	builtAt        time.Time
 	buildTook      time.Duration
 	buildScheduled bool
+	// pendingSince is when the oldest change that is not in the catalog arrived, 0 if
+	// there is none.
+	pendingSince clock.Millis
 	// readRequested is set while a requested read has not started. cancelWait ends
 	// the current wait or watch, nil if there is none.
 	readRequested bool
@@ -88,7 +100,7 @@
 	r := &replicator{
 		source: a.Source, clk: clk, pauses: pauses, log: log, setCatalog: setCatalog,
 		replica: replica.New(), started: clk.Now(),
-		onUpdate: func(*replica.Update) {},
+		onUpdate: func(*replica.Update) {}, onActive: func(clock.Millis) {},
 	}
 	r.rank.Store(1) // not the reader until the group has elected one
 	r.builder = catalog.NewBuilder(a.Decode, r.logInvalidItem, 2*heartbeat)
@@ -142,6 +154,9 @@
 	hadOutage := before > 0 && now-clock.Millis(r.confirmedAt.Load()) >= sourceOutageAge
 	r.builder.Apply(now, changed, hadOutage)
 	complete := r.replica.Complete()
+	if len(changed) > 0 && r.pendingSince == 0 {
+		r.pendingSince = now
+	}
 	if len(changed) > 0 || before == 0 {
 		r.scheduleBuild()
 	}
@@ -192,6 +207,22 @@
 	r.setCatalog(c)
 	r.builtAt = time.Now()
 	r.buildTook = r.builtAt.Sub(start)
+	r.recordActive(c)
+}
+
+// recordActive logs that c is active and reports how long its changes were pending.
+// The caller holds mu.
+func (r *replicator) recordActive(c *catalog.Catalog) {
+	pending := clock.Millis(0)
+	if r.pendingSince != 0 {
+		pending = r.clk.Now() - r.pendingSince
+	}
+	r.pendingSince = 0
+	r.onActive(pending)
+	event.Log(context.Background(), r.log, event.CatalogTaken, slog.Uint64("version", uint64(c.Config.Version)),
+		slog.Uint64("revision", uint64(c.Revision)), slog.Int("routes", len(c.Config.Routes)),
+		slog.Int("upstreams", c.UpstreamCount()), slog.Any("domainsOut", c.DomainsOut()),
+		slog.Int64("pendingMillis", int64(pending)), slog.Int64("buildMillis", r.buildTook.Milliseconds()))
 }
 
 // prune drops expired tombstones.
@@ -307,7 +338,7 @@
 		return err
 	}
 	r.nextReadAt = r.clk.Now() + fullReadInterval
-	r.apply(u, "source")
+	r.apply(u, fromRead)
 	r.recordSuccess(ctx, requestedAt, count)
 	return nil
 }
@@ -327,7 +358,7 @@
 		}
 		return err
 	}
-	r.apply(u, "source")
+	r.apply(u, fromWatch)
 	if r.pauses.poll() == count {
 		validAt = r.clk.Now() // without a pause, the response did not wait in the socket
 	}
--- a/amaranthd/entry/replicator_test.go
+++ b/amaranthd/entry/replicator_test.go
@@ -276,8 +276,8 @@
 	var updates []replica.Update
 	r.onUpdate = func(u *replica.Update) { updates = append(updates, *u) }
 	early := replica.Item{Key: "upstream", Value: []byte("1"), Revision: 30, Created: 9}
-	r.apply(replica.Update{Full: true, Complete: 28, Items: []replica.Item{configItem(28), early}}, "source")
-	r.apply(replica.Update{After: 28, Complete: 30, Items: []replica.Item{early}}, "source")
+	r.apply(replica.Update{Full: true, Complete: 28, Items: []replica.Item{configItem(28), early}}, fromRead)
+	r.apply(replica.Update{After: 28, Complete: 30, Items: []replica.Item{early}}, fromWatch)
 	assert.Equal(t, len(updates), 2)
 	assert.Equal(t, updates[1].After, replica.Revision(28))
 	assert.Equal(t, len(updates[1].Items), 1)
