Bound the pause between two builds of the catalog

Callers saw: requests reached an upstream 5.1 to 5.3 s after it had said that it leaves (DRAIN); requests were handled by a configuration that had been replaced more than 5 s before (CONFIG).

Cause: a VM that had received a change waited with it. The pause between two builds was 50 times the measured duration of the last one, without a bound. A build measures the wall clock: on a VM that is slow, has used up its share of the processor or is paused meanwhile it takes 50 to 250 ms instead of 5, and the next change waited for up to 12 s.

TestSlowBuildDoesNotDelayChanges failed: a change was not active 3 s after a build of 200 ms.

Change: the pause is at most 1 s.

--- a/amaranthd/entry/replicator.go
+++ b/amaranthd/entry/replicator.go
@@ -42,6 +42,9 @@
 	// a multiple of the duration of the last build. It limits builds to 2 % of a
 	// core while changes arrive in quick succession.
 	buildPauseFactor = 50
+	// maxBuildPause bounds that pause, since a build may take long because the VM
+	// was slow or paused. Changes must be active within seconds.
+	maxBuildPause = 1 * clock.Second
 	// ageCheckInterval is the period at which a VM that follows another one checks
 	// the age of its copy.
 	ageCheckInterval clock.Millis = 50
@@ -179,9 +182,10 @@
 }
 
 // scheduleBuild builds the catalog immediately, or after the pause that
-// buildPauseFactor asks for since the last build. The caller holds mu.
+// buildPauseFactor and maxBuildPause ask for since the last build. The caller holds
+// mu.
 func (r *replicator) scheduleBuild() {
-	wait := buildPauseFactor*r.buildTook - time.Since(r.builtAt)
+	wait := min(buildPauseFactor*r.buildTook, maxBuildPause.Duration()) - time.Since(r.builtAt)
 	if wait <= 0 {
 		r.build()
 		return
--- a/amaranthd/entry/replicator_test.go
+++ b/amaranthd/entry/replicator_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -218,6 +219,30 @@
 	assert.Assert(t, built <= 20, "%d built", built)
 }
 
+// TestSlowBuildDoesNotDelayChanges has one build take long, as it does on a VM that
+// is slow for a while. The changes that follow must be active within the bound for
+// configurations, since upstreams that leave would get new flows until then.
+func TestSlowBuildDoesNotDelayChanges(t *testing.T) {
+	const (
+		slowBuild   = 200 * time.Millisecond
+		configBound = 3 * time.Second
+	)
+	var active atomic.Uint64
+	r := newTestReplicator(&fakeSource{}, func(c *catalog.Catalog) {
+		if c.Config.Version == 1 {
+			time.Sleep(slowBuild)
+		}
+		active.Store(uint64(c.Config.Version))
+	})
+	r.apply(replica.Update{Complete: 1, Items: []replica.Item{configItem(1)}}, "test")
+	changedAt := time.Now()
+	r.apply(replica.Update{After: 1, Complete: 2, Items: []replica.Item{configItem(2)}}, "test")
+	for active.Load() != 2 && time.Since(changedAt) < configBound {
+		time.Sleep(10 * time.Millisecond)
+	}
+	assert.Equal(t, active.Load(), uint64(2), "not active after %v", time.Since(changedAt))
+}
+
 func waitFor(t *testing.T, holds func() bool) {
 	t.Helper()
 	for deadline := time.Now().Add(3 * time.Second); !holds(); time.Sleep(5 * time.Millisecond) {
