Keep removed items removed when copies of VMs are merged

Callers saw: flows went to upstreams that were gone, in fleets in which VMs start while upstreams leave.

Cause: a full read of the store has no tombstones. A VM that starts and reads the store itself knows what exists at revision r, not what was removed before. (1) For an older VM its update since that VM's revision left out the removals, and the older VM took itself for complete at r with the removed items in it. (2) When it asked an older VM for everything, it took items back that its own read had shown to be gone. Neither heals: later updates start at r. The class is removals lost in a merge of copies.

Change: a full update that takes a copy forward moves the revision from which on its tombstones are complete, so an older VM gets a full update. An item of an older copy that does not exist here becomes a tombstone. A tombstone in a full update no longer counts as presence. A periodic read with news is preceded by a watch, so that the reader does not jump.

--- a/amaranthd/entry/replicator.go
+++ b/amaranthd/entry/replicator.go
@@ -319,7 +319,7 @@
 	}
 	switch reading.Next() {
 	case replica.ReadAll:
-		return r.read(ctx)
+		return r.read(ctx, !reading.Requested && !reading.Empty && !reading.Failed)
 	case replica.Watch:
 		return r.watch(ctx, watchWait)
 	case replica.Poll:
@@ -332,7 +332,9 @@
 
 var errInterrupted = errors.New("entry: watch interrupted by a requested read")
 
-func (r *replicator) read(ctx context.Context) error {
+// read reads all items and applies them. A periodic read only verifies a copy that
+// watches keep up to date.
+func (r *replicator) read(ctx context.Context, periodic bool) error {
 	bounded, cancel := context.WithTimeout(ctx, (watchWait + responseTimeout).Duration())
 	defer cancel()
 	r.calls.Add(1)
@@ -341,12 +343,32 @@
 	if err != nil {
 		return err
 	}
+	if periodic {
+		r.catchUp(bounded, u.Complete)
+	}
 	r.nextReadAt = r.clk.Now() + fullReadInterval
 	r.apply(u, fromRead)
 	r.recordSuccess(ctx, requestedAt, count)
 	return nil
 }
 
+// catchUp requests the changes up to a revision that a read has shown, before the
+// read is applied. Without them the copy would lack the tombstones since its own
+// revision, and other VMs would need full updates. An error is ignored, since the
+// read holds all items that exist.
+func (r *replicator) catchUp(ctx context.Context, target replica.Revision) {
+	after := r.localCopy().Complete
+	if after >= target {
+		return
+	}
+	bounded, cancel := context.WithTimeout(ctx, responseTimeout.Duration())
+	defer cancel()
+	r.calls.Add(1)
+	if u, err := r.source.Watch(bounded, after, checkWait); err == nil {
+		r.apply(u, fromWatch)
+	}
+}
+
 // watch requests changes and waits for them for at most the given time.
 func (r *replicator) watch(ctx context.Context, wait clock.Millis) error {
 	bounded, cancel := context.WithTimeout(ctx, (wait + responseTimeout).Duration())
--- a/amaranthd/entry/replicator_test.go
+++ b/amaranthd/entry/replicator_test.go
@@ -243,6 +243,24 @@
 	assert.Equal(t, active.Load(), uint64(2), "not active after %v", time.Since(changedAt))
 }
 
+// TestReadKeepsUpdatesIncremental has a periodic read find a change before the watch
+// does. The update for the other VMs must hold only the change: a full one is too
+// large for a message, and each VM would fetch it.
+func TestReadKeepsUpdatesIncremental(t *testing.T) {
+	f := &fakeSource{
+		read: func() (replica.Update, error) { return fullUpdate(9) },
+		watch: func(_ context.Context, after replica.Revision) (replica.Update, error) {
+			return replica.Update{After: after, Complete: 9, Items: []replica.Item{configItem(9)}}, nil
+		},
+	}
+	r := newTestReplicator(f, func(*catalog.Catalog) {})
+	r.apply(replica.Update{Full: true, Complete: 5, Items: []replica.Item{configItem(5)}}, fromRead)
+	var updates []replica.Update
+	r.onUpdate = func(u *replica.Update) { updates = append(updates, *u) }
+	assert.NilError(t, r.read(context.Background(), true))
+	assert.DeepEqual(t, updates, []replica.Update{{After: 5, Complete: 9, Items: []replica.Item{configItem(9)}}})
+}
+
 func waitFor(t *testing.T, holds func() bool) {
 	t.Helper()
 	for deadline := time.Now().Add(3 * time.Second); !holds(); time.Sleep(5 * time.Millisecond) {
--- a/fleet/replica/replica.go
+++ b/fleet/replica/replica.go
@@ -54,8 +54,9 @@
 type Replica struct {
 	entries  map[Key]entry
 	complete Revision
-	// horizon is the highest revision of a dropped tombstone. An update from an
-	// older revision must be a full one.
+	// horizon is the revision from which on this copy has all tombstones. Older ones
+	// were dropped, or a full update has skipped them. An update for an older copy
+	// must be a full one.
 	horizon Revision
 }
 
@@ -69,12 +70,15 @@
 // Apply merges u and returns the items that changed, ordered by revision.
 func (r *Replica) Apply(now clock.Millis, u Update) (changed []Item) {
 	for _, item := range u.Items {
-		if merged, ok := r.merge(now, item); ok {
+		if merged, ok := r.merge(now, r.markRemoved(item, u.Complete)); ok {
 			changed = append(changed, merged)
 		}
 	}
 	if u.Full {
 		changed = append(changed, r.removeMissing(now, u)...)
+		if u.Complete > r.complete {
+			r.horizon = max(r.horizon, u.Complete)
+		}
 	}
 	if u.Full || u.After <= r.complete {
 		r.complete = max(r.complete, u.Complete)
@@ -91,6 +95,20 @@
 	return changed
 }
 
+// markRemoved returns item as a tombstone if it comes from an older copy and does not
+// exist here, although it was published before the revision of this copy. It was then
+// removed since, and its tombstone was dropped or, as full reads of the publisher have
+// none, never received. copyComplete is the revision of the copy that sent item.
+func (r *Replica) markRemoved(item Item, copyComplete Revision) Item {
+	old, known := r.entries[item.Key]
+	exists := known && !old.item.Removed
+	if exists || item.Removed || copyComplete >= r.complete || item.Revision > r.complete || item.Revision <= old.item.Revision {
+		return item
+	}
+	item.Removed, item.Revision = true, r.complete
+	return item
+}
+
 // merge stores item if it is newer than the stored item of its key, and reports
 // whether that is a change. The removal of an unknown item is a change only if
 // it carries the last value.
@@ -112,7 +130,7 @@
 func (r *Replica) removeMissing(now clock.Millis, u Update) (changed []Item) {
 	present := make(map[Key]bool, len(u.Items))
 	for i := range u.Items {
-		present[u.Items[i].Key] = true
+		present[u.Items[i].Key] = !u.Items[i].Removed
 	}
 	for key, e := range r.entries {
 		if present[key] || e.item.Removed || e.item.Revision > u.Complete {
--- a/fleet/replica/replica_test.go
+++ b/fleet/replica/replica_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -36,6 +38,9 @@
 		{"removal", []Update{{Complete: 3, Items: []Item{put(3, "a", "x")}}, {After: 3, Complete: 4, Items: []Item{{Key: "a", Revision: 4, Removed: true}}}}, map[Key]string{}, 4},
 		{"missing from a full update", []Update{{Complete: 3, Items: []Item{put(3, "a", "x")}}, {Full: true, Complete: 8}}, map[Key]string{}, 8},
 		{"newer than a full update", []Update{{Complete: 9, Items: []Item{put(9, "a", "x")}}, {Full: true, Complete: 8}}, map[Key]string{"a": "x"}, 9},
+		{"present in an older copy", []Update{{Full: true, Complete: 6}, {Complete: 5, Items: []Item{put(3, "a", "x")}}}, map[Key]string{}, 6},
+		{"missed by a watch", []Update{{Full: true, Complete: 6}, {Full: true, Complete: 6, Items: []Item{put(3, "a", "x")}}}, map[Key]string{"a": "x"}, 6},
+		{"newer than this copy in an older one", []Update{{Full: true, Complete: 6}, {Complete: 5, Items: []Item{put(7, "a", "x")}}}, map[Key]string{"a": "x"}, 6},
 		{"gap leaves the copy incomplete", []Update{{Complete: 3, Items: []Item{put(3, "a", "x")}}, {After: 7, Complete: 9, Items: []Item{put(9, "b", "y")}}}, map[Key]string{"a": "x", "b": "y"}, 3},
 	}
 	for _, test := range tests {
@@ -87,40 +92,76 @@
 	assert.DeepEqual(t, values(other), map[Key]string{"b": "y"})
 }
 
-// TestCopiesAgree updates copies from the publisher and from each other, in any
-// order and repeatedly. The revision of an item must never decrease in a copy,
-// and all copies must finally hold the published items.
+// publisher is a stand-in for the publisher with the items at each of its revisions.
+type publisher struct {
+	changes Replica
+	history []map[Key]string
+}
+
+func newPublisher() *publisher {
+	return &publisher{changes: *New(), history: []map[Key]string{{}}}
+}
+
+func (p *publisher) revision() Revision { return Revision(len(p.history) - 1) }
+
+func (p *publisher) change(item Item) {
+	item.Revision = p.revision() + 1
+	item.Created = item.Revision
+	item.Value = fmt.Append(nil, item.Revision)
+	p.changes.Apply(0, Update{After: p.revision(), Complete: item.Revision, Items: []Item{item}})
+	p.history = append(p.history, values(&p.changes))
+}
+
+// read returns all items, and no tombstones.
+func (p *publisher) read() Update {
+	u := p.changes.Since(0)
+	u.Full = true
+	u.Items = slices.DeleteFunc(u.Items, func(i Item) bool { return i.Removed })
+	return u
+}
+
+// TestCopiesAgree updates copies by reads and watches of the publisher and by pulls
+// from each other, in any order and repeatedly. Some copies start again or drop their
+// tombstones meanwhile. The revision of an item must never decrease in a copy. After
+// each step a copy must hold the items that were published at its revision.
 func TestCopiesAgree(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		published := New()
+		p := newPublisher()
 		copies := []*Replica{New(), New(), New()}
-		seen := make([]map[Key]Revision, len(copies))
-		for i := range seen {
-			seen[i] = make(map[Key]Revision)
-		}
-		rev := Revision(0)
+		seen := []map[Key]Revision{{}, {}, {}}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			rev++
-			key := fmt.Sprint("k", rapid.IntRange(0, 5).Draw(t, "key"))
-			change := put(rev, key, fmt.Sprint(rev))
-			change.Removed = rapid.Bool().Draw(t, "removed")
-			published.Apply(0, Update{After: rev - 1, Complete: rev, Items: []Item{change}})
-			from := rapid.IntRange(-1, len(copies)-1).Draw(t, "from")
+			if rapid.Bool().Draw(t, "change") {
+				p.change(Item{Key: Key(fmt.Sprint("k", rapid.IntRange(0, 5).Draw(t, "key"))), Removed: rapid.Bool().Draw(t, "removed")})
+			}
 			to := rapid.IntRange(0, len(copies)-1).Draw(t, "to")
-			source := published
-			if from >= 0 {
-				source = copies[from]
+			from := copies[rapid.IntRange(0, len(copies)-1).Draw(t, "from")]
+			c := copies[to]
+			switch rapid.SampledFrom([]string{"read", "watch", "pull", "pull all", "restart", "forget"}).Draw(t, "step") {
+			case "read":
+				c.Apply(0, p.read())
+			case "watch":
+				c.Apply(0, p.changes.Since(c.Complete()))
+			case "pull":
+				c.Apply(0, from.Since(c.Complete()))
+			case "pull all":
+				c.Apply(0, from.Since(0))
+			case "restart":
+				copies[to], seen[to] = New(), map[Key]Revision{}
+			case "forget":
+				c.Forget(tombstoneTTL + 1)
+				maps.DeleteFunc(seen[to], func(key Key, _ Revision) bool { return c.entries[key].item.Revision == 0 })
 			}
-			copies[to].Apply(0, source.Since(copies[to].Complete()))
-			copies[to].Each(func(i Item, _ clock.Millis) {
+			c = copies[to]
+			assert.DeepEqual(t, values(c), p.history[c.Complete()])
+			c.Each(func(i Item, _ clock.Millis) {
 				assert.Assert(t, i.Revision >= seen[to][i.Key])
 				seen[to][i.Key] = i.Revision
 			})
 		}
 		for _, c := range copies {
-			c.Apply(0, published.Since(c.Complete()))
-			assert.DeepEqual(t, values(c), values(published))
-			assert.Equal(t, c.Complete(), published.Complete())
+			c.Apply(0, p.changes.Since(c.Complete()))
+			assert.DeepEqual(t, values(c), values(&p.changes))
+			assert.Equal(t, c.Complete(), p.revision())
 		}
 	})
 }
