Add the wait in the socket to the ages in messages, and read when behind

Callers saw: through a VM without any impairment, requests reached an upstream 3.1 s after it had said that it leaves (DRAIN, bound 3 s), and were handled by a configuration that had been replaced for more than 3 s (CONFIG).

Cause: one VM reads the store for all; the others read it themselves once the age of their copy says that nobody confirms it. Ages come in messages. A message that waited in the socket of a slow VM was taken as just sent, so that VM took its copy for fresher than it was, told the others, and heard it back: the old copy was confirmed again and again without the store. Besides, a VM that knew of a newer copy, but could not get it from the slow VM that had it, asked that VM each second and not the store. The class is a lease that its own echo renews, for want of accounting for delays.

Change: a VM sends a probe to its own socket in each round, adds the delay of the last one, or of one that is overdue, to the ages of the copy and of the reader's claim in messages, and shows it as a metric. A VM that has known of a newer copy for as long as it would wait for a confirmation reads the store.

--- a/amaranthd/entry/metrics.go
+++ b/amaranthd/entry/metrics.go
@@ -43,6 +43,7 @@
 		s.Gauge(name, func() float64 { return float64(read()) })
 	}
 	s.Gauge("amaranth_entry_copy_age_seconds", func() float64 { return d.copyAge().Seconds() })
+	s.Gauge("amaranth_entry_receive_delay_seconds", func() float64 { return d.peers.delay.estimate().Seconds() })
 	s.Gauge("amaranth_entry_config_version", func() float64 { return float64(d.status().Version) })
 	s.Gauge("amaranth_entry_upstreams", func() float64 { return float64(d.status().Upstreams) })
 	s.Gauge("amaranth_entry_ready", func() float64 { return boolToFloat(d.ready()) })
--- a/amaranthd/entry/peers.go
+++ b/amaranthd/entry/peers.go
@@ -46,6 +46,9 @@
 	log        *slog.Logger
 
 	domain ident.DomainName
+	// probeTo is the address of the own socket.
+	probeTo netip.AddrPort
+	delay   *receiveDelay
 
 	mu    sync.Mutex
 	group *gossip.Group
@@ -83,6 +86,7 @@
 	now := clk.Now()
 	p = &peers{
 		conn: pc.(*net.UDPConn), engine: engine, replicator: r, clk: clk, log: log, domain: settings.Domain,
+		delay: &receiveDelay{clk: clk, interval: gossipInterval},
 		// The seed, the last byte of the address, lets VMs that start at the same
 		// time make different random choices. New combines it with the start time.
 		group:        gossip.New(now, self, settings.Seeds, uint64(settings.Peers.Addr().As4()[3])),
@@ -90,26 +94,59 @@
 		otherDomains: otherDomains(settings), started: now,
 		partitioned: make(map[ident.DomainName]bool),
 	}
+	p.probeTo = reachable(p.conn.LocalAddr().(*net.UDPAddr).AddrPort())
 	p.transfer = newStateTransfer(r, pool, p.peerAhead, log)
 	server.Handle(methodSince, p.transfer.serve)
 	return p, func() { _ = p.conn.Close() }, nil
 }
 
+// reachable returns the address at which this VM reaches its own socket that is bound
+// to address, which may be a wildcard.
+func reachable(address netip.AddrPort) netip.AddrPort {
+	if address.Addr().IsUnspecified() {
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), address.Port())
+	}
+	return address
+}
+
 // read receives messages until the socket is closed.
 func (p *peers) read(ctx context.Context) error {
 	buf := make([]byte, maxMessageBytes)
 	for {
-		n, _, err := p.conn.ReadFromUDPAddrPort(buf)
+		n, from, err := p.conn.ReadFromUDPAddrPort(buf)
 		if err != nil {
 			if ctx.Err() != nil {
 				return nil
 			}
 			return eris.Wrap(err, "entry: read messages from peers")
 		}
+		if from == p.probeTo {
+			p.receiveProbe(buf[:n])
+			continue
+		}
 		p.receive(buf[:n])
 	}
 }
 
+// sendProbe sends the time to the own socket, for the estimate of the receive delay.
+func (p *peers) sendProbe(now clock.Millis) {
+	data, err := cbor.Marshal(now)
+	if err != nil {
+		p.invalid.Add(1)
+		return
+	}
+	_, _ = p.conn.WriteToUDPAddrPort(data, p.probeTo) // a lost probe counts as overdue until the next one
+}
+
+func (p *peers) receiveProbe(data []byte) {
+	var sentAt clock.Millis
+	if err := cbor.Unmarshal(data, &sentAt); err != nil {
+		p.invalid.Add(1)
+		return
+	}
+	p.delay.recordProbe(sentAt)
+}
+
 // receive decodes a message and applies its contents.
 func (p *peers) receive(data []byte) {
 	var msg gossip.Message
@@ -118,7 +155,7 @@
 		return
 	}
 	p.replicator.pauses.poll()
-	waited := p.replicator.pauses.maxMessageDelay() // upper bound: the message may have waited in the socket during a pause
+	waited := max(p.replicator.pauses.maxMessageDelay(), p.delay.estimate())
 	msg.Age += waited
 	msg.Reader.Age += waited
 	local := p.replicator.localCopy()
@@ -145,6 +182,7 @@
 		return
 	}
 	if msg.Complete > local.Complete {
+		p.replicator.noteNewer(msg.Complete)
 		p.transfer.enqueue(pullRequest{catchUp: true})
 	}
 }
@@ -162,6 +200,7 @@
 // the replicator.
 func (p *peers) round(ctx context.Context) {
 	now := p.clk.Now()
+	p.sendProbe(now)
 	local := p.replicator.localCopy()
 	loads := loadsToGossip(p.engine.Loads())
 	p.mu.Lock()
--- a/amaranthd/entry/replicator.go
+++ b/amaranthd/entry/replicator.go
@@ -81,6 +81,10 @@
 	builtAt        time.Time
 	buildTook      time.Duration
 	buildScheduled bool
+	// newerRevision is the highest revision that another VM has reported, and
+	// behindSince the time since which this copy lacks it, 0 if it does not.
+	newerRevision replica.Revision
+	behindSince   clock.Millis
 	// pendingSince is when the oldest change that is not in the catalog arrived, 0 if
 	// there is none.
 	pendingSince clock.Millis
@@ -123,6 +127,30 @@
 	return gossip.ReplicaState{Complete: r.replica.Complete(), ConfirmedAt: clock.Millis(r.confirmedAt.Load())}
 }
 
+// noteNewer records that another VM has a copy of a higher revision.
+func (r *replicator) noteNewer(revision replica.Revision) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if revision <= r.replica.Complete() {
+		return
+	}
+	r.newerRevision = max(r.newerRevision, revision)
+	if r.behindSince == 0 {
+		r.behindSince = r.clk.Now()
+	}
+}
+
+// behind returns the time since which this VM has known of a newer copy, 0 if its own
+// is the newest.
+func (r *replicator) behind() clock.Millis {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.behindSince == 0 {
+		return 0
+	}
+	return r.clk.Now() - r.behindSince
+}
+
 // confirm records that the copy was complete at the given time. Earlier times than
 // the recorded one are ignored.
 func (r *replicator) confirm(at clock.Millis) {
@@ -157,6 +185,9 @@
 	hadOutage := before > 0 && now-clock.Millis(r.confirmedAt.Load()) >= sourceOutageAge
 	r.builder.Apply(now, changed, hadOutage)
 	complete := r.replica.Complete()
+	if complete >= r.newerRevision {
+		r.behindSince = 0
+	}
 	if len(changed) > 0 && r.pendingSince == 0 {
 		r.pendingSince = now
 	}
@@ -315,7 +346,7 @@
 	confirmed := clock.Millis(r.confirmedAt.Load())
 	reading := replica.ReadState{
 		Rank: int(r.rank.Load()), Requested: r.takeReadRequest(), Empty: r.localCopy().Complete == 0, Uptime: now - r.started,
-		Age: now - confirmed, PublisherAway: r.sourceOutage.Load(), Due: now >= r.nextReadAt, Failed: r.nextReadAt == 0,
+		Age: now - confirmed, Behind: r.behind(), PublisherAway: r.sourceOutage.Load(), Due: now >= r.nextReadAt, Failed: r.nextReadAt == 0,
 	}
 	switch reading.Next() {
 	case replica.ReadAll:
--- a/amaranthd/entry/replicator_test.go
+++ b/amaranthd/entry/replicator_test.go
@@ -162,6 +162,23 @@
 	assert.Assert(t, r.clk.Now()-r.localCopy().ConfirmedAt < 1000)
 }
 
+// TestVMBehindCallsSource confirms the copy again and again, as slow VMs with the same
+// old copy do, while another VM reports a newer one that it does not send. The VM must
+// get it from the source in time.
+func TestVMBehindCallsSource(t *testing.T) {
+	const configBound = 3 * time.Second
+	f := &fakeSource{read: func() (replica.Update, error) { return fullUpdate(9) }}
+	r := newTestReplicator(f, func(*catalog.Catalog) {})
+	r.apply(replica.Update{Full: true, Complete: 5, Items: []replica.Item{configItem(5)}}, "test")
+	startReplicator(t, r)
+	r.noteNewer(9)
+	for begun := time.Now(); r.localCopy().Complete < 9 && time.Since(begun) < configBound; time.Sleep(20 * time.Millisecond) {
+		r.confirm(r.clk.Now())
+	}
+	assert.Equal(t, r.localCopy().Complete, replica.Revision(9))
+	assert.Equal(t, r.behind(), clock.Millis(0))
+}
+
 // TestRetryBackoff counts the calls to a source that rejects all of them.
 func TestRetryBackoff(t *testing.T) {
 	f := &fakeSource{read: func() (replica.Update, error) { return replica.Update{}, errors.New("busy") }}
--- a/fleet/replica/readstate.go
+++ b/fleet/replica/readstate.go
@@ -64,6 +64,9 @@
 	Uptime clock.Millis
 	// Age is the time since the copy was last confirmed to be complete.
 	Age clock.Millis
+	// Behind is the time since which the VM has known that another one has a newer
+	// copy, 0 if it knows of none. That VM may be unable to pass the copy on.
+	Behind clock.Millis
 	// PublisherAway is set if other VMs report that the publisher does not
 	// answer.
 	PublisherAway bool
@@ -86,7 +89,7 @@
 		return ReadAll
 	case r.Rank == 0:
 		return Watch
-	case r.Age < r.maxAge():
+	case max(r.Age, r.Behind) < r.maxAge():
 		return NoCall
 	case r.Failed:
 		return ReadAll
--- a/fleet/replica/readstate_test.go
+++ b/fleet/replica/readstate_test.go
@@ -25,6 +25,8 @@
 		{"copy is confirmed", ReadState{Rank: 1, Uptime: 9000, Age: 1199, Failed: true}, NoCall},
 		{"reader may have stopped", ReadState{Rank: 1, Uptime: 9000, Age: 1200}, Poll},
 		{"failed call may have hidden changes", ReadState{Rank: 1, Uptime: 9000, Age: 1200, Failed: true}, ReadAll},
+		{"another VM has a newer copy", ReadState{Rank: 1, Uptime: 9000, Age: 300, Behind: 1199}, NoCall},
+		{"another VM does not pass its newer copy on", ReadState{Rank: 1, Uptime: 9000, Age: 300, Behind: 1200}, Poll},
 		{"last checker waits longest", ReadState{Rank: 4, Uptime: 9000, Age: 1949}, NoCall},
 		{"last checker polls", ReadState{Rank: 4, Uptime: 9000, Age: 1950}, Poll},
 		{"other VMs wait for the checkers", ReadState{Rank: 5, Uptime: 9000, Age: 2399}, NoCall},
