Give no grace to upstreams that a VM knows only by their removal

Callers would see: new flows to an upstream that is gone, for 2 s at a VM that was away from the store and learns from another VM of an upstream that came and went meanwhile.

Cause: after the store was away, every upstream with a new tombstone went on getting new flows for 2 s, which are meant for upstreams that could not renew their registration.

Change: only an upstream that was published in this VM's copy gets them.

Measured: TestNoGraceForUpstreamsNeverPublished failed before and passes.

--- a/fleet/catalog/builder.go
+++ b/fleet/catalog/builder.go
@@ -45,13 +45,15 @@
 const renewalGrace = 2 * clock.Second
 
 // Apply applies changed items in the order of their revisions. If
-// publisherWasAway is set, a removed upstream may only have been unable to
-// renew its registration, so it accepts new flows for renewalGrace, unless it
-// was draining.
+// publisherWasAway is set, an upstream that is removed now may only have been
+// unable to renew its registration, so it accepts new flows for renewalGrace,
+// unless it was draining. One that was never published here does not.
 func (b *Builder) Apply(now clock.Millis, items []replica.Item, publisherWasAway bool) {
 	for i := range items {
+		e := b.upstreams[items[i].Key]
+		published := e != nil && !e.Removed
 		b.apply(now, items[i])
-		if e := b.upstreams[items[i].Key]; publisherWasAway && items[i].Removed && e != nil && e.RemovedAt == now {
+		if publisherWasAway && items[i].Removed && published {
 			e.GraceUntil = now + renewalGrace
 		}
 	}
--- a/fleet/catalog/catalog_test.go
+++ b/fleet/catalog/catalog_test.go
@@ -101,6 +101,18 @@
 	}
 }
 
+// TestNoGraceForUpstreamsNeverPublished learns of an upstream only by its removal, from
+// the copy of another VM, after the publisher was away. Open flows to it are forwarded,
+// but it must get no new ones.
+func TestNoGraceForUpstreamsNeverPublished(t *testing.T) {
+	b := NewBuilder(decodeWords, func(replica.Item, error) {}, 0)
+	b.Apply(0, []replica.Item{item(1, "config", "1")}, false)
+	b.Apply(5000, []replica.Item{removedItem(4, "u", "web a")}, true)
+	list := b.Build(4).Serving("web")
+	assert.Equal(t, len(list), 1)
+	assert.Assert(t, !list[0].AcceptsNewFlows(5000))
+}
+
 // TestRenewalGrace removes upstreams after the publisher was away. One that was ready
 // must accept new flows until it has had time to renew its registration; one
 // that was draining must not.
