Trust the source over the revisions that other VMs report

Cause, found by reading: a VM that was told of a revision which the store never shows would have asked the store each 1.2 s for good, and a failed watch before a periodic read was counted nowhere.

Change: an answer of the source ends the state of being behind; the failed watch counts in amaranth_entry_source_failures_total.

--- a/amaranthd/entry/replicator.go
+++ b/amaranthd/entry/replicator.go
@@ -395,9 +395,12 @@
 	bounded, cancel := context.WithTimeout(ctx, responseTimeout.Duration())
 	defer cancel()
 	r.calls.Add(1)
-	if u, err := r.source.Watch(bounded, after, checkWait); err == nil {
-		r.apply(u, fromWatch)
+	u, err := r.source.Watch(bounded, after, checkWait)
+	if err != nil {
+		r.failures.Add(1)
+		return
 	}
+	r.apply(u, fromWatch)
 }
 
 // watch requests changes and waits for them for at most the given time.
@@ -430,6 +433,9 @@
 // count is the number of pauses before the request.
 func (r *replicator) recordSuccess(ctx context.Context, at clock.Millis, count int) {
 	r.confirm(at)
+	r.mu.Lock()
+	r.behindSince, r.newerRevision = 0, 0 // the source knows better than other VMs
+	r.mu.Unlock()
 	r.pauses.markVerified(count)
 	if r.sourceUnreachable.CompareAndSwap(true, false) {
 		event.Log(ctx, r.log, event.PlatformBack)
