--- a/amaranthd/entry/peers.go
+++ b/amaranthd/entry/peers.go
@@ -46,7 +46,8 @@
 	log        *slog.Logger
 
 	domain ident.DomainName
-	// probeTo is the address of the own socket.
+	// probeTo is the address of conn, to which this VM sends probes, and delay the
+	// estimate that they give.
 	probeTo netip.AddrPort
 	delay   *receiveDelay
 
@@ -138,6 +139,7 @@
 	_, _ = p.conn.WriteToUDPAddrPort(data, p.probeTo) // a lost probe counts as overdue until the next one
 }
 
+// receiveProbe decodes a probe and updates the estimate of the receive delay.
 func (p *peers) receiveProbe(data []byte) {
 	var sentAt clock.Millis
 	if err := cbor.Unmarshal(data, &sentAt); err != nil {
@@ -155,6 +157,7 @@
 		return
 	}
 	p.replicator.pauses.poll()
+	// The message may have waited in the socket, most of all during a pause.
 	waited := max(p.replicator.pauses.maxMessageDelay(), p.delay.estimate())
 	msg.Age += waited
 	msg.Reader.Age += waited
--- a/amaranthd/entry/replicator.go
+++ b/amaranthd/entry/replicator.go
@@ -363,8 +363,8 @@
 
 var errInterrupted = errors.New("entry: watch interrupted by a requested read")
 
-// read reads all items and applies them. A periodic read only verifies a copy that
-// watches keep up to date.
+// read reads all items and applies them. periodic is set for a read that only verifies
+// a copy that watches keep up to date.
 func (r *replicator) read(ctx context.Context, periodic bool) error {
 	bounded, cancel := context.WithTimeout(ctx, (watchWait + responseTimeout).Duration())
 	defer cancel()
