Query other VMs before placing flows after a short pause

What callers saw: a new flow was broken by a second answer to its SYN, from another upstream.

Cause: the data path treats its state as stale only after a pause of pauseMillis (1 s). Other VMs find a VM unreachable after two probes without an answer in 150 ms, and then place its flows. A home that did not run for 150 ms to 1 s placed the SYNs that waited in its socket, although another VM had placed the caller's second SYN.

Change: after a gap above the timeout of a probe the engine queries the other VMs before it places a flow, as it does after a longer pause. The data path and the control loop both check for the gap, whichever runs first. No packets are dropped.

Measured: TestFlowPlacedTwiceAfterShortPause fails before (forward instead of hold) and passes after. The rest, where home and acting home place a flow at the same time, is another cause.

--- a/amaranthd/daemon/controller.go
+++ b/amaranthd/daemon/controller.go
@@ -57,6 +57,10 @@
 	lastTick    atomic.Int64
 	resyncUntil atomic.Int64
 
+	// stallMu guards stalledAt, the last time at which checkStall told the engine.
+	stallMu   sync.Mutex
+	stalledAt clock.Millis
+
 	// joined reports whether another VM has sent its member list, no other VM is
 	// listed, or none has answered within twice PatienceMillis.
 	joined atomic.Bool
--- a/amaranthd/daemon/daemon.go
+++ b/amaranthd/daemon/daemon.go
@@ -139,7 +139,7 @@
 func providePath(ctx context.Context, set *settings.Settings, engine *steering.Engine, control *Controller, socket *vm.Socket, clk clock.Clock, tracer *tracing.Tracer, clean *teardown.List) (*fabric.DataPath, error) {
 	hooks := fabric.Hooks{
 		Now:        clk.Now,
-		Paused:     control.paused,
+		Paused:     control.mustDrop,
 		SendDetour: socket.SendDetour,
 		Learn:      engine.Enqueue,
 		Flush:      control.flushUrgent,
--- a/amaranthd/daemon/pause.go
+++ b/amaranthd/daemon/pause.go
@@ -20,9 +20,33 @@
 	return !c.joined.Load() || now-clock.Millis(c.lastTick.Load()) > c.set.Timers.PauseMillis || int64(now) < c.resyncUntil.Load()
 }
 
+// mustDrop reports whether the data path must drop the packets that it reads at
+// now.
+func (c *Controller) mustDrop(now clock.Millis) bool {
+	c.checkStall(now)
+	return c.paused(now)
+}
+
+// checkStall tells the engine if the time since the last tick exceeds the timeout
+// of a probe. Other VMs may then have found this VM unreachable and placed its
+// flows, so the engine queries them before it places one.
+func (c *Controller) checkStall(now clock.Millis) {
+	limit := max(c.set.Members.TimeoutMillis, 2*c.set.Timers.TickMillis)
+	if now-clock.Millis(c.lastTick.Load()) <= limit {
+		return
+	}
+	c.stallMu.Lock()
+	defer c.stallMu.Unlock()
+	if now-c.stalledAt > limit {
+		c.engine.Resume(now)
+		c.stalledAt = now
+	}
+}
+
 // checkPause detects that the process was suspended, from the time since the
 // last tick, and probes the other VMs to learn what changed.
 func (c *Controller) checkPause(ctx context.Context, now clock.Millis) {
+	c.checkStall(now)
 	gap := now - clock.Millis(c.lastTick.Load())
 	if gap > c.set.Timers.PauseMillis {
 		// Set all of this under one lock and before any log line or message:
@@ -34,7 +58,6 @@
 		c.resyncUntil.Store(int64(now + c.set.Timers.ResyncMillis))
 		sends := c.members.Announce(now)
 		c.mu.Unlock()
-		c.engine.Resume(now)
 		event.Log(ctx, c.log, event.PauseDetected, slog.Int64("gapMillis", int64(gap)))
 		c.sendProbes(sends)
 	}
--- a/amaranthd/daemon/pause_test.go
+++ b/amaranthd/daemon/pause_test.go
@@ -76,28 +76,67 @@
 	assert.Assert(t, d.control.paused(now), "the data path resumed on an acknowledgement from before the pause")
 }
 
-// TestOldAnswerAfterPause guards against placing a flow twice. An answer waits in
-// the socket while the process is suspended. The SYN held for it must not be
-// placed, since the caller has retransmitted it and another VM has placed it.
-func TestOldAnswerAfterPause(t *testing.T) {
-	clk := clock.NewManual(1_000_000)
-	d := newTestDaemon(t, clk, slog.DiscardHandler)
+// addOtherVM makes vm2 a member and home besides vm1, and publishes a service.
+func addOtherVM(d *Daemon, now clock.Millis) {
 	other := d.control.set.VMRecord()
 	other.ID = "vm2"
 	d.socket.SetDirectory(vm.Directory{"vm2": other})
-	d.control.joined.Store(true)
 	f := &config.File{Version: 1, Domains: []config.Domain{{Name: "hue-a", State: config.DomainIn}}, Services: []config.Service{{
 		Name: "s", VNI: 7, Address: netip.MustParseAddr("198.51.100.1"), Kinds: []config.Kind{config.KindFlow},
 		Upstreams: []config.Upstream{{Name: "u", Domain: "hue-a", Address: "127.250.3.9:6081", State: config.UpstreamActive}},
 	}}}
-	d.engine.SetConfig(clk.Advance(0), f)
+	d.engine.SetConfig(now, f)
 	vms := []config.VMID{"vm1", "vm2"}
-	d.engine.SetMembers(clk.Advance(0), steering.Membership{Homes: []homes.VM{{ID: "vm1"}, {ID: "vm2"}}, Live: vms, PlacerCandidates: vms})
-	p := steering.Packet{Hops: 2, Info: packet.Info{
+	d.engine.SetMembers(now, steering.Membership{Homes: []homes.VM{{ID: "vm1"}, {ID: "vm2"}}, Live: vms, PlacerCandidates: vms})
+}
+
+// newSYN returns the SYN of a new flow, which the receiving VM treats as its home.
+func newSYN() *steering.Packet {
+	return &steering.Packet{Hops: 2, Info: packet.Info{
 		VNI: 7, ID: flow.ID{Hi: 1, Lo: 2}, TCP: true, Flags: packet.SYN,
 		Src: netip.MustParseAddrPort("198.18.0.1:1000"), Dst: netip.MustParseAddrPort("198.51.100.1:443"),
 	}}
-	assert.Equal(t, d.engine.Handle(clk.Advance(0), &p).Kind, steering.Hold)
+}
+
+// TestFlowPlacedTwiceAfterShortPause guards against placing a flow that another VM
+// placed during a pause that is too short for the data path to drop packets.
+func TestFlowPlacedTwiceAfterShortPause(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		gap        clock.Millis
+		afterCheck bool
+		want       steering.ActionKind
+	}{
+		{"none", 50, false, steering.Forward},
+		{"seen by the data path", 800, false, steering.Hold},
+		{"seen by the control loop", 800, true, steering.Hold},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			clk := clock.NewManual(1_000_000)
+			d := newTestDaemon(t, clk, slog.DiscardHandler)
+			d.control.joined.Store(true)
+			addOtherVM(d, clk.Advance(0))
+			now := clk.Advance(120 * clock.Second) // longer than all settle times
+			d.control.lastTick.Store(int64(now))
+			now = clk.Advance(test.gap)
+			if test.afterCheck {
+				d.control.checkPause(t.Context(), now)
+			}
+			assert.Assert(t, !d.control.mustDrop(now))
+			assert.Equal(t, d.engine.Handle(now, newSYN()).Kind, test.want)
+		})
+	}
+}
+
+// TestOldAnswerAfterPause guards against placing a flow twice. An answer waits in
+// the socket while the process is suspended. The SYN held for it must not be
+// placed, since the caller has retransmitted it and another VM has placed it.
+func TestOldAnswerAfterPause(t *testing.T) {
+	clk := clock.NewManual(1_000_000)
+	d := newTestDaemon(t, clk, slog.DiscardHandler)
+	d.control.joined.Store(true)
+	addOtherVM(d, clk.Advance(0))
+	assert.Equal(t, d.engine.Handle(clk.Advance(0), newSYN()).Kind, steering.Hold)
 	d.engine.DequeueAll()
 	clk.Advance(10 * clock.Second)
 	d.control.receiveFlows(clk.Advance(0), wire.FlowBatch{From: "vm2", Items: []wire.FlowItem{{Kind: steering.Reply, Hi: 1, Lo: 2, VNI: 7}}})
