Let an unreachable home that replies place its flows

Cause: a VM that acts for a home it can't reach placed new flows at once. The home places the SYNs that waited in its socket as soon as it runs, while the others still find it unreachable. In four traced cases the two placed the flow 0.4 to 4.2 ms apart; in one the acting VM itself was the one that had been paused, and found a running home unreachable.

Change: a VM that acts for an unreachable home queries the home too before it places a new flow. If the home replies without an upstream, the held packets are detoured to it, and it places the flow. A home that doesn't reply delays its new flows by the timeout of a query, 150 ms, until it is found dead. Established flows are handled as before. Since no VM is replaced within the timeouts of a probe and a query, a gap counts as a short pause above their sum, 300 ms, which also keeps the building of large tables (196 ms) from causing queries.

Measured: TestFlowPlacedTwiceWhenHomeWakes and TestUnreachableHomeIsReplaced fail before and pass after. The new scenario "short pauses of VMs" checks this.

--- a/amaranthd/daemon/pause.go
+++ b/amaranthd/daemon/pause.go
@@ -27,11 +27,11 @@
 	return c.paused(now)
 }
 
-// checkStall tells the engine if the time since the last tick exceeds the timeout
-// of a probe. Other VMs may then have found this VM unreachable and placed its
-// flows, so the engine queries them before it places one.
+// checkStall tells the engine if the time since the last tick exceeds the timeouts
+// of a probe and of a query. Other VMs may then have found this VM unreachable and
+// placed its flows, so the engine queries them before it places one.
 func (c *Controller) checkStall(now clock.Millis) {
-	limit := max(c.set.Members.TimeoutMillis, 2*c.set.Timers.TickMillis)
+	limit := max(c.set.Members.TimeoutMillis+c.set.Steering.AskTimeoutMillis, 2*c.set.Timers.TickMillis)
 	if now-clock.Millis(c.lastTick.Load()) <= limit {
 		return
 	}
--- a/amaranthd/fabric/datapath.go
+++ b/amaranthd/fabric/datapath.go
@@ -334,7 +334,7 @@
 	i.w.flush()
 }
 
-// Release steers, or discards if r.Discard is set, the held packets of a flow.
+// Release steers, detours or discards the held packets of a flow, as r demands.
 func (i *Injector) Release(now clock.Millis, r steering.Release) {
 	p := i.w.path
 	p.holdMu.Lock()
@@ -345,6 +345,13 @@
 		p.Counters.Dropped[r.Reason].Add(int64(len(list)))
 		return
 	}
+	if r.VM != "" {
+		p.Counters.Detoured.Add(int64(len(list)))
+		for _, h := range list {
+			p.hooks.SendDetour(r.VM, h.hops+1, h.cachedUpstream, h.data)
+		}
+		return
+	}
 	i.w.out = i.w.out[:0]
 	for _, h := range list {
 		i.w.handle(now, h.data, h.from, h.hops, h.cachedUpstream)
--- a/amaranthd/scenario/flows_test.go
+++ b/amaranthd/scenario/flows_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/amaranthswitch/amaranthswitch/fleet/config"
+	"github.com/amaranthswitch/amaranthswitch/standin/caller"
 	"github.com/amaranthswitch/amaranthswitch/standin/fault"
 	"github.com/amaranthswitch/amaranthswitch/standin/site"
 )
@@ -119,6 +120,17 @@
 		w.assertNoPackets(w.Config.Domains[2].Name, limit)
 		return max(d, w.waitInForce(nil))
 	}},
+	{name: "short pauses of VMs", run: func(w *testbed) time.Duration {
+		w.addShortFlows()
+		for _, v := range w.VMs {
+			v.Process.Suspend()
+			time.Sleep(shortPause)
+			v.Process.Resume()
+			w.runFor(time.Second)
+		}
+		assert.Equal(w.t, w.Flows.Summary().Misrouted, 0, "flows were placed twice")
+		return w.publish(nil, func(*config.File) {})
+	}},
 	{name: "platform down, then stale", planned: true, run: func(w *testbed) time.Duration {
 		d := w.publish(nil, drainFirst)
 		w.Platform.SetDown(true)
@@ -157,6 +169,20 @@
 	}},
 }
 
+// shortPause is longer than other VMs need to find a VM unreachable, and too
+// short for the VM to drop the packets that arrived during it.
+const shortPause = 800 * time.Millisecond
+
+// addShortFlows starts to open flows to the first service that close after a few
+// segments.
+func (w *testbed) addShortFlows() {
+	sv := &w.Config.Services[0]
+	w.Flows.Add(caller.FlowPlan{
+		VNI: sv.VNI, Address: sv.Address, Flows: w.flows / 2, OpenPerSecond: float64(w.flows) / 2, Segments: 3,
+		Interval: 500 * time.Millisecond, RetransmitTimeout: 300 * time.Millisecond,
+	})
+}
+
 // assertSlowStart fails if an upstream of a failure domain that was put back
 // received more new flows in a second than its warm-up rate permits.
 func (w *testbed) assertSlowStart(d config.DomainName, since time.Time) {
--- a/fleet/steering/cluster_test.go
+++ b/fleet/steering/cluster_test.go
@@ -74,6 +74,16 @@
 	}
 }
 
+// setUnreachable makes a VM unreachable for all others, which still consider it
+// live.
+func (c *cluster) setUnreachable(vm config.VMID) {
+	for id, e := range c.engines {
+		if id != vm {
+			e.SetMembers(c.now, Membership{Homes: homeVMs(c.vms), Live: c.vms, PlacerCandidates: c.vms, Unreachable: []config.VMID{vm}})
+		}
+	}
+}
+
 // homeVMs distributes VMs over three failure domains.
 func homeVMs(vms []config.VMID) (list []homes.VM) {
 	for _, vm := range vms {
@@ -202,6 +212,9 @@
 			continue
 		case Hold:
 			if rel := c.deliver(); len(rel) == 1 && !rel[0].Discard {
+				if rel[0].VM != "" {
+					p.From, p.Hops, vm = vm, p.Hops+1, rel[0].VM
+				}
 				continue
 			}
 			return Action{Kind: Drop, Reason: Unresolved}, vm
--- a/fleet/steering/packet.go
+++ b/fleet/steering/packet.go
@@ -121,10 +121,11 @@
 	Upstream config.UpstreamID
 }
 
-// Release ends the hold on the packets of a flow. They are handled again, or
-// discarded for Reason if Discard is set.
+// Release ends the hold on the packets of a flow. They are handled again, detoured
+// to VM if it is not empty, or discarded for Reason if Discard is set.
 type Release struct {
 	ID      flow.ID
+	VM      config.VMID
 	Discard bool
 	Reason  DropReason
 }
--- a/fleet/steering/place.go
+++ b/fleet/steering/place.go
@@ -10,10 +10,10 @@
 // flow, per upstream in the table.
 const candidatesPerMember = 3
 
-// openTCPFlow places a new TCP flow. If the home changed recently, it first
-// queries the other VMs, one of which may already have placed the flow.
+// openTCPFlow places a new TCP flow. If another VM may already have placed the
+// flow, it first queries the other VMs.
 func (e *Engine) openTCPFlow(now clock.Millis, sh *shard, s *service, m *members, p *Packet) Action {
-	if !e.placeLocally && now-m.view.ChangedAt(p.ID) < e.limits.SettleMillis {
+	if e.mayBePlaced(now, m, p, e.limits.SettleMillis) {
 		if act, queried := e.queryPeers(now, sh, s, m, p, true, false); queried {
 			return act
 		}
@@ -21,10 +21,20 @@
 	return e.placeFlow(now, sh, s, m, p)
 }
 
-// resolveUDPFlow handles a packet of an unknown UDP flow. If the home changed
-// within the idle timeout, the flow is new only if no queried VM knows it.
+// mayBePlaced reports whether another VM may have placed an unknown flow: its home
+// changed within the settle time, or this VM acts for an unreachable home, which
+// may run again at any time.
+func (e *Engine) mayBePlaced(now clock.Millis, m *members, p *Packet, settle clock.Millis) bool {
+	if e.placeLocally {
+		return false
+	}
+	return now-m.view.ChangedAt(p.ID) < settle || m.unreachableHome(p.ID) != ""
+}
+
+// resolveUDPFlow handles a packet of an unknown UDP flow. If another VM may have
+// placed the flow, it is new only if no queried VM knows it.
 func (e *Engine) resolveUDPFlow(now clock.Millis, sh *shard, s *service, m *members, p *Packet) Action {
-	if !e.placeLocally && now-m.view.ChangedAt(p.ID) < e.limits.UDPIdleMillis {
+	if e.mayBePlaced(now, m, p, e.limits.UDPIdleMillis) {
 		if act, queried := e.queryPeers(now, sh, s, m, p, true, false); queried {
 			return act
 		}
--- a/fleet/steering/query.go
+++ b/fleet/steering/query.go
@@ -91,11 +91,15 @@
 	return e.continueFlow(now, e.insert(now, sh, p, candidates[0]), p)
 }
 
-// queryPeers holds the packet and queries the VMs that may know its flow. It
+// queryPeers holds the packet and queries the VMs that may know its flow, and for
+// a new flow also an unreachable home, which places the flow if it replies. It
 // returns false if there is no VM to query. If maxPending queries are pending, it
 // drops the packet.
 func (e *Engine) queryPeers(now clock.Millis, sh *shard, s *service, m *members, p *Packet, isNew, includeCaches bool) (Action, bool) {
 	targets := e.queryTargets(m, p.ID, includeCaches)
+	if home := m.unreachableHome(p.ID); isNew && home != "" {
+		targets = append(targets, home)
+	}
 	if len(targets) == 0 {
 		return Action{}, false
 	}
@@ -104,7 +108,7 @@
 	}
 	sh.pending[p.ID] = &flowQuery{
 		isNew: isNew, udp: !p.TCP, vni: s.vni, awaiting: targets,
-		deadline: now + e.limits.AskTimeoutMillis, client: p.Src, port: p.Dst.Port(),
+		deadline: now + e.limits.AskTimeoutMillis, client: p.Src, port: p.Dst.Port(), hops: p.Hops,
 	}
 	e.pendingCount.Add(1)
 	for _, vm := range targets {
@@ -196,6 +200,9 @@
 		e.release(Release{ID: msg.ID})
 		return
 	}
+	if from == e.members.Load().view.Home(msg.ID) {
+		query.home = from
+	}
 	query.awaiting = slices.DeleteFunc(query.awaiting, func(vm config.VMID) bool { return vm == from })
 	if len(query.awaiting) == 0 {
 		e.finishQuery(now, sh, s, msg.ID, query)
@@ -206,6 +213,10 @@
 func (e *Engine) finishQuery(now clock.Millis, sh *shard, s *service, id flow.ID, query *flowQuery) {
 	delete(sh.pending, id)
 	p := query.packet(id)
+	if query.isNew && query.home != "" && query.hops <= maxHops {
+		e.release(Release{ID: id, VM: query.home})
+		return
+	}
 	if query.isNew {
 		act := e.placeFlow(now, sh, s, e.members.Load(), p)
 		e.release(Release{ID: id, Discard: act.Kind != Forward, Reason: act.Reason})
--- a/fleet/steering/shard.go
+++ b/fleet/steering/shard.go
@@ -68,6 +68,10 @@
 	deadline clock.Millis
 	client   netip.AddrPort
 	port     uint16
+	hops     uint8
+	// home is the home of the flow if it replied, so that it can place the flow, or
+	// empty.
+	home config.VMID
 }
 
 func (e *Engine) shard(id flow.ID) *shard { return &e.shards[id.Hi&shardMask] }
--- a/fleet/steering/steering_test.go
+++ b/fleet/steering/steering_test.go
@@ -389,3 +389,44 @@
 	}
 	assert.Equal(t, moved, 0, "flows moved to other upstreams")
 }
+
+// TestFlowPlacedTwiceWhenHomeWakes guards against placing a flow twice when its
+// home runs again after a pause. The other VMs still find the home unreachable,
+// but it answers and places the flow.
+func TestFlowPlacedTwiceWhenHomeWakes(t *testing.T) {
+	c := newCluster(t, 5, 6, 1)
+	home := c.vms[2]
+	c.setUnreachable(home)
+	for range 200 {
+		f := c.newFlow()
+		isHome := c.engines[home].members.Load().view.Home(f.id) == home
+		act, vm := c.send(f, packet.SYN)
+		assert.Equal(t, act.Kind, Forward)
+		assert.Assert(t, !isHome || vm == home, "%s placed a flow of %s", vm, home)
+		at := f.at
+		act, _ = c.send(f, packet.SYN) // retransmission
+		assert.Equal(t, act.Kind, Forward)
+		assert.Equal(t, f.at, at)
+	}
+}
+
+// TestUnreachableHomeIsReplaced checks that another VM places the flows of an
+// unreachable home that does not reply.
+func TestUnreachableHomeIsReplaced(t *testing.T) {
+	c := newCluster(t, 5, 6, 1)
+	home := c.vms[2]
+	c.setUnreachable(home)
+	c.lost[home] = true
+	f := c.newFlow()
+	for c.engines[home].members.Load().view.Home(f.id) != home {
+		f = c.newFlow()
+	}
+	act, vm := c.sendVia(f, packet.SYN, c.vms[0])
+	assert.Equal(t, act.Kind, Drop)
+	c.now += DefaultLimits().AskTimeoutMillis
+	c.engines[vm].Tick(c.now)
+	c.deliver()
+	act, placedBy := c.sendVia(f, packet.SYN, c.vms[0])
+	assert.Equal(t, act.Kind, Forward)
+	assert.Equal(t, placedBy, vm)
+}
