Let a stopping VM finish the calls that others wait for

Cause: a duplicate at another VM waits in the call claim.answer until the first request is done. The server ran its handlers under the context that ends when the daemon is told to stop. The stopping VM still answered its requests in flight, but the waiting calls returned "pending" at once, and the duplicate's eight attempts were over in 0.2 s: the log has the refusal 218 ms after daemonLeaving of the VM that ran the request.

Change: the contexts of calls end with the cleanup of the server, after the requests in flight are answered. This holds for calls that wait for a slot too. The two methods of package entry use no context.

Measured: TestCallOutlivesContext fails before and passes after.

--- a/amaranthd/rpc/rpc.go
+++ b/amaranthd/rpc/rpc.go
@@ -48,7 +48,9 @@
 }
 
 // Serve accepts connections on address until cleanup is called, which also closes
-// the connections. It returns an error if it cannot listen on address.
+// the connections and ends the contexts of calls in progress. The end of ctx does
+// not end them, since a VM that stops still serves the others. Serve returns an
+// error if it cannot listen on address.
 func (s *Server) Serve(ctx context.Context, address netip.AddrPort) (cleanup func(), err error) {
 	defer func() { err = eris.Wrapf(err, "rpc: serve %s", address) }()
 	var lc net.ListenConfig
@@ -56,14 +58,16 @@
 	if err != nil {
 		return nil, err
 	}
+	calls, endCalls := context.WithCancel(context.WithoutCancel(ctx))
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		s.accept(ctx, ln)
+		s.accept(calls, ln)
 	}()
 	return func() {
 		_ = ln.Close()
 		<-ended
+		endCalls()
 		s.conns.Range(func(key, _ any) bool {
 			_ = key.(*jsonrpc2.Conn).Close()
 			return true
--- a/amaranthd/rpc/rpc_test.go
+++ b/amaranthd/rpc/rpc_test.go
@@ -47,6 +47,39 @@
 	assert.NilError(t, <-ended)
 }
 
+// TestCallOutlivesContext guards against calls that end as soon as their VM starts
+// to stop. The call must last until the cleanup of the server.
+func TestCallOutlivesContext(t *testing.T) {
+	s := NewServer()
+	started, ended := make(chan struct{}), make(chan struct{})
+	s.Handle("wait", func(ctx context.Context, _ json.RawMessage) (any, error) {
+		close(started)
+		<-ctx.Done()
+		close(ended)
+		return nil, nil
+	})
+	to := netip.MustParseAddrPort("127.250.1.3:7947")
+	ctx, cancel := context.WithCancel(t.Context())
+	stop, err := s.Serve(ctx, to)
+	assert.NilError(t, err)
+	p, closePool := NewPool(netip.Addr{}, 2000)
+	defer closePool()
+	go func() { _ = p.Call(t.Context(), to, "wait", nil, nil) }()
+	<-started
+	cancel()
+	select {
+	case <-ended:
+		t.Error("the call ended with the context")
+	case <-time.After(50 * time.Millisecond):
+	}
+	stop()
+	select {
+	case <-ended:
+	case <-time.After(time.Second):
+		t.Error("the call did not end with the server")
+	}
+}
+
 // TestTimedOutConnectionIsReplaced has a call time out. The next call must succeed
 // on a new connection.
 func TestTimedOutConnectionIsReplaced(t *testing.T) {
