Dial anew when the other VM closed a pooled connection

What callers saw: in a rolling restart a keyed request was refused with "too few VMs could tell whether the key was used".

Cause: the pool kept a connection after the other VM had restarted, so the first call to that VM failed. If another of the three witnesses of the key was stopping at that moment, two of the three calls failed. A run with the result of each call logged: burton-3, which had restarted 2 s before, and derby-1, which was stopping, both "connection is closed".

Change: the pool drops a connection that the other VM has closed before it makes a call.

Measured: TestCallAfterRestart fails before and passes after.

--- a/amaranthd/rpc/rpc.go
+++ b/amaranthd/rpc/rpc.go
@@ -148,6 +148,16 @@
 	lastUsed time.Time
 }
 
+// closed reports whether the other VM has closed the connection.
+func (c *poolConn) closed() bool {
+	select {
+	case <-c.conn.DisconnectNotify():
+		return true
+	default:
+		return false
+	}
+}
+
 // maxIdleTime is the time without calls after which a connection is not used
 // again.
 const maxIdleTime = 10 * time.Second
@@ -199,7 +209,7 @@
 func (p *Pool) conn(ctx context.Context, to netip.AddrPort) (*jsonrpc2.Conn, error) {
 	p.mu.Lock()
 	c := p.conns[to]
-	if c != nil && time.Since(c.lastUsed) > maxIdleTime {
+	if c != nil && (c.closed() || time.Since(c.lastUsed) > maxIdleTime) {
 		_ = c.conn.Close()
 		delete(p.conns, to)
 		c = nil
--- a/amaranthd/rpc/rpc_test.go
+++ b/amaranthd/rpc/rpc_test.go
@@ -80,6 +80,24 @@
 	}
 }
 
+// TestCallAfterRestart guards against a call that fails only because the other VM
+// restarted since the last one.
+func TestCallAfterRestart(t *testing.T) {
+	to := netip.MustParseAddrPort("127.250.1.4:7947")
+	p, closePool := NewPool(netip.Addr{}, 2000)
+	defer closePool()
+	for range 2 {
+		s := NewServer()
+		s.Handle("echo", func(_ context.Context, params json.RawMessage) (any, error) { return params, nil })
+		stop, err := s.Serve(t.Context(), to)
+		assert.NilError(t, err)
+		var got string
+		assert.NilError(t, p.Call(t.Context(), to, "echo", "x", &got))
+		stop()
+		time.Sleep(50 * time.Millisecond) // until the pool's end of the connection is closed
+	}
+}
+
 // TestTimedOutConnectionIsReplaced has a call time out. The next call must succeed
 // on a new connection.
 func TestTimedOutConnectionIsReplaced(t *testing.T) {
