Tell witnesses whose reply was lost that an attempt withdrew or ran

What callers would see: a keyed request is refused with "it is not known whether the request ran" for the whole lifetime of its key, although it never ran.

Cause: a gateway told only the witnesses whose grant it had received that its attempt withdrew or ran. A witness that granted the claim, but whose reply was lost or came after the timeout, kept the key claimed by an attempt that never ran.

Change: the gateway also tells the witnesses whose call failed, once and after the others, so that duplicates don't wait longer.

--- a/amaranthd/holder/witness.go
+++ b/amaranthd/holder/witness.go
@@ -102,6 +102,8 @@
 	record    claim.Record
 	witnesses []config.VMID
 	granted   []config.VMID
+	// uncertain are the witnesses whose call failed. They may have granted the claim.
+	uncertain []config.VMID
 	majority  int
 }
 
@@ -129,6 +131,7 @@
 	for _, w := range c.witnesses {
 		var reply claim.Reply
 		if err := h.call(ctx, h.timeouts.CallMillis, w, methodClaim, c.record, &reply); err != nil {
+			c.uncertain = append(c.uncertain, w)
 			continue
 		}
 		switch reply.Verdict {
@@ -175,24 +178,32 @@
 const maxNotifyAttempts = 3
 
 // notify calls a method of the witnesses that granted the claim, without waiting
-// for them, and then calls then. A notification that is lost leaves the key
-// claimed, which is safe.
+// for them, calls then, and calls the method once of the witnesses that may have
+// granted it. A notification that is lost leaves the key claimed, which is safe.
 func (c *Claim) notify(m rpc.Method, then func()) {
-	granted := slices.Clone(c.granted)
+	granted, uncertain := slices.Clone(c.granted), slices.Clone(c.uncertain)
 	c.h.notifications.Add(1)
 	go func() {
 		defer c.h.notifications.Done()
-		defer then()
 		for _, w := range granted {
-			for range maxNotifyAttempts {
-				if c.h.call(context.Background(), c.h.timeouts.CallMillis, w, m, c.record, &empty{}) == nil {
-					break
-				}
-			}
+			c.tell(w, m, maxNotifyAttempts)
+		}
+		then()
+		for _, w := range uncertain {
+			c.tell(w, m, 1)
 		}
 	}()
 }
 
+// tell calls a method of a witness until a call succeeds, at most attempts times.
+func (c *Claim) tell(w config.VMID, m rpc.Method, attempts int) {
+	for range attempts {
+		if c.h.call(context.Background(), c.h.timeouts.CallMillis, w, m, c.record, &empty{}) == nil {
+			return
+		}
+	}
+}
+
 // claimBackup holds the claims of another VM while that VM restarts.
 type claimBackup struct {
 	VM    config.VMID  `json:"vm"`
