--- a/amaranthd/daemon/controller.go
+++ b/amaranthd/daemon/controller.go
@@ -57,7 +57,7 @@
 	lastTick    atomic.Int64
 	resyncUntil atomic.Int64
 
-	// stallMu guards stalledAt, the last time at which checkStall told the engine.
+	// stallMu guards stalledAt, the time at which checkStall last told the engine.
 	stallMu   sync.Mutex
 	stalledAt clock.Millis
 
--- a/amaranthd/daemon/pause.go
+++ b/amaranthd/daemon/pause.go
@@ -21,15 +21,17 @@
 }
 
 // mustDrop reports whether the data path must drop the packets that it reads at
-// now.
+// now. It calls checkStall first, since the data path may run before the control
+// loop does.
 func (c *Controller) mustDrop(now clock.Millis) bool {
 	c.checkStall(now)
 	return c.paused(now)
 }
 
-// checkStall tells the engine if the time since the last tick exceeds the timeouts
-// of a probe and of a query. Other VMs may then have found this VM unreachable and
-// placed its flows, so the engine queries them before it places one.
+// checkStall tells the engine if the time since the last tick exceeds the sum of
+// the timeouts of a probe and of a query. Other VMs may then have found this VM
+// unreachable and placed its flows, so the engine queries them before it places
+// one.
 func (c *Controller) checkStall(now clock.Millis) {
 	limit := max(c.set.Members.TimeoutMillis+c.set.Steering.AskTimeoutMillis, 2*c.set.Timers.TickMillis)
 	if now-clock.Millis(c.lastTick.Load()) <= limit {
--- a/amaranthd/holder/witness_test.go
+++ b/amaranthd/holder/witness_test.go
@@ -22,8 +22,8 @@
 	t.Helper()
 	pool, closePool := rpc.NewPool(netip.Addr{}, 100)
 	t.Cleanup(closePool)
-	running := func(clock.Millis) bool { return false }
-	h := New("vm1", "hue-a", clk.Clock(), slog.New(slog.DiscardHandler), pool, rpc.NewServer(), Timeouts{CallMillis: 100, LeaseMillis: 1000}, Hooks{Paused: running})
+	neverPaused := func(clock.Millis) bool { return false }
+	h := New("vm1", "hue-a", clk.Clock(), slog.New(slog.DiscardHandler), pool, rpc.NewServer(), Timeouts{CallMillis: 100, LeaseMillis: 1000}, Hooks{Paused: neverPaused})
 	h.SetVMList(clk.Advance(0), []membership.VM{{ID: "vm1", Domain: "hue-a"}})
 	h.SetConfig(clk.Advance(0), &config.File{Services: []config.Service{{VNI: 7, Upstreams: []config.Upstream{{Name: "u", Domain: "hue-a"}}}}})
 	return h
