Use one test for an unreachable home, and a library key in a test

Cause: lostHome and the new unreachableHome asked the same question in two ways, finishQuery branched twice on new flows, and a test built a key by hand as another package does.

Change: lostHome calls unreachableHome, finishNewFlow holds the branch, and the test takes a UUID of version 7.

--- a/amaranthd/holder/witness_test.go
+++ b/amaranthd/holder/witness_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"testing"
 
+	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
 	"gotest.tools/v3/assert"
 
@@ -33,10 +34,11 @@
 // whole lifetime: the witness granted it, but its reply was lost, so the attempt
 // did not run.
 func TestKeyIsFreeAfterLostReply(t *testing.T) {
-	clk := clock.NewManual(1_700_000_000_000)
+	// The holder has been a witness since before the key was created.
+	clk := clock.NewManual(clock.System().Now() - 2*claim.ClockSkewMarginMillis)
 	h := newTestHolder(t, clk)
 	clk.Advance(2 * claim.ClockSkewMarginMillis)
-	k := keyAt(t, clk.Advance(0))
+	k := claim.Key(uuid.Must(uuid.NewV7()))
 	h.handlers[methodClaim] = func(ctx context.Context, params json.RawMessage) (any, error) {
 		_, _ = h.serveClaim(ctx, params)
 		return nil, eris.New("the reply is lost")
@@ -48,14 +50,3 @@
 	_, res = h.ClaimKey(t.Context(), k, 7, "digest")
 	assert.Assert(t, res.Granted, "the key is still held by %v", res.Existing)
 }
-
-// keyAt returns a key that was created at the given time.
-func keyAt(t *testing.T, at clock.Millis) claim.Key {
-	t.Helper()
-	k, err := claim.ParseKey("00000000-0000-7000-8000-000000000001")
-	assert.NilError(t, err)
-	for i := range 6 {
-		k[i] = byte(at >> (40 - 8*i))
-	}
-	return k
-}
--- a/fleet/steering/engine.go
+++ b/fleet/steering/engine.go
@@ -107,10 +107,10 @@
 
 func (m *members) reachable(vm config.VMID) bool { return m.live[vm] && !m.unreachable[vm] }
 
-// unreachableHome returns the home of the flow if it is live but cannot be reached
-// directly, or else the empty identifier.
+// unreachableHome returns the home of the flow if it cannot be reached directly, or
+// else the empty identifier.
 func (m *members) unreachableHome(id flow.ID) config.VMID {
-	if home := m.view.Home(id); m.live[home] && m.unreachable[home] {
+	if home := m.view.Home(id); home != "" && !m.reachable(home) {
 		return home
 	}
 	return ""
--- a/fleet/steering/query.go
+++ b/fleet/steering/query.go
@@ -69,7 +69,7 @@
 // lostHome reports whether the current home of the flow, for which this VM acts,
 // is not reachable, or a previous home is not live, and since when.
 func (e *Engine) lostHome(now clock.Millis, m *members, id flow.ID) (since clock.Millis, lost bool) {
-	if home := m.view.Home(id); home != e.self && home != "" && !m.reachable(home) {
+	if m.unreachableHome(id) != "" {
 		return now, true
 	}
 	for _, vm := range m.view.PastHomes(id) {
@@ -213,13 +213,8 @@
 func (e *Engine) finishQuery(now clock.Millis, sh *shard, s *service, id flow.ID, query *flowQuery) {
 	delete(sh.pending, id)
 	p := query.packet(id)
-	if query.isNew && query.home != "" && query.hops <= maxHops {
-		e.release(Release{ID: id, VM: query.home})
-		return
-	}
 	if query.isNew {
-		act := e.placeFlow(now, sh, s, e.members.Load(), p)
-		e.release(Release{ID: id, Discard: act.Kind != Forward, Reason: act.Reason})
+		e.finishNewFlow(now, sh, s, p, query)
 		return
 	}
 	candidates := e.tableCandidates(s, id)
@@ -231,6 +226,16 @@
 	e.release(Release{ID: id})
 }
 
+// finishNewFlow lets the home place a new flow if it replied, or else places it.
+func (e *Engine) finishNewFlow(now clock.Millis, sh *shard, s *service, p *Packet, query *flowQuery) {
+	if query.home != "" && query.hops <= maxHops {
+		e.release(Release{ID: p.ID, VM: query.home})
+		return
+	}
+	act := e.placeFlow(now, sh, s, e.members.Load(), p)
+	e.release(Release{ID: p.ID, Discard: act.Kind != Forward, Reason: act.Reason})
+}
+
 // packet returns the packet that started the query, as far as this package needs
 // it.
 func (query *flowQuery) packet(id flow.ID) *Packet {
