--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -328,7 +328,7 @@
 	}
 	stop := make(chan struct{})
 	defer close(stop)
-	go w.traffic("a", feed, "order", 200, stop)
+	go w.traffic("a", feed, "order", 300, stop)
 	go w.traffic("b", feed, "order", 20, stop)
 	time.Sleep(3 * time.Second)
 	if w.trouble {
