Read priority, target and timeout of routes; classify answers by size

Cause: no decision reads what a route says of its requests, and no VM notices that an upstream rejects them. Change: catalog.Route holds priority, latency target and timeout; package quality tells rejections, which are answers of less than a third of the usual size of their route. Nothing acts on them yet.

--- a/fleet/catalog/types.go
+++ b/fleet/catalog/types.go
@@ -38,8 +38,16 @@
 type Route struct {
 	Address netip.AddrPort
 	Targets []Target
+	// Priority ranks the requests of the route when room is scarce. 0 is the highest.
+	Priority Priority
+	// LatencyTarget is the time in which an answer is on time, and Timeout the time
+	// after which the caller no longer waits for it. Both are 0 if unknown.
+	LatencyTarget, Timeout clock.Millis
 }
 
+// Priority is the priority of a route. 0 is the highest.
+type Priority int
+
 // Target is a service with its weight among the targets of a route.
 type Target struct {
 	Service ident.ServiceName
--- a/fleet/forward/learn.go
+++ b/fleet/forward/learn.go
@@ -50,7 +50,7 @@
 	case f.established && int32(p.Ack-f.ack) > 0:
 		e.recordAck(now, f)
 		if f.endAnswered() {
-			e.hooks.Answered(now - f.sentAt)
+			e.recordAnswer(now, f, p.Ack-f.ack)
 		}
 	case !f.established && f.opened:
 		e.recordAck(now, f)
--- a/fleet/forward/routes.go
+++ b/fleet/forward/routes.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
+	"github.com/amaranthswitch/amaranthswitch/fleet/quality"
 )
 
 const (
@@ -37,6 +38,7 @@
 	// because a new flow is busier than it is later.
 	open, inFlight atomic.Int32
 	expected       atomic.Int32
+	quality        quality.Route
 }
 
 // recordLong counts a flow that sends its second request.
