Separate the choice of an upstream from its effects

Cause: an operator's query of where a flow would go has to call the code that decides, but Engine.place scheduled probes while it compared the upstreams.

Change: Engine.rank compares the candidates and changes nothing: each has a cost and a class (answering, cold, silent or avoided). Engine.choose decides by the ranking and names the rule; what uses something up, taking a probe or a share of a cold upstream, is passed in as effects, either applied or simulated. A second pass over the upstreams is needed only when a probe is due, which it is at most once per second and silent upstream.

The class of a candidate needs one lock less. go test ./fleet/forward passes.

--- /dev/null
+++ b/fleet/forward/candidate.go
@@ -0,0 +1,53 @@
+package forward
+
+import (
+	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
+)
+
+// class tells on which terms a candidate may get a new flow.
+type class uint8
+
+const (
+	// classAnswering candidates get flows by cost alone.
+	classAnswering class = iota
+	// classCold candidates get flows at a limited rate.
+	classCold
+	// classSilent candidates get probing flows, and others if nothing else is left.
+	classSilent
+	// classAvoided candidates are treated like silent ones, since their whole failure
+	// domain is lost or unreachable.
+	classAvoided
+)
+
+// String returns the class as written to explanations.
+func (c class) String() string { return [...]string{"answering", "cold", "silent", "avoided"}[c] }
+
+// candidate is an upstream that is considered for a new flow.
+type candidate struct {
+	target *target
+	// cost is in requests in flight per slot.
+	cost  float64
+	class class
+}
+
+// cheaper reports whether c costs less than other, which may be empty.
+func (c *candidate) cheaper(other *candidate) bool { return other.target == nil || c.cost < other.cost }
+
+// candidate returns the i-th upstream of the service with its cost and class. It
+// changes nothing.
+func (e *Engine) candidate(now clock.Millis, pl *placement, i int) candidate {
+	t := pl.upstreams[i]
+	return candidate{target: t, cost: e.cost(t, pl.long) + tieBreak(pl.hash, i), class: classOf(now, t)}
+}
+
+func classOf(now clock.Millis, t *target) class {
+	switch {
+	case now < t.entry.ColdUntil:
+		return classCold
+	case t.domain.avoided(): // includes domains that do not answer
+		return classAvoided
+	case t.load.health.condition() != answering:
+		return classSilent
+	}
+	return classAnswering
+}
--- a/fleet/forward/health.go
+++ b/fleet/forward/health.go
@@ -232,12 +232,23 @@
 // condition returns the current condition.
 func (h *health) condition() condition { return h.current().condition }
 
-// takeProbe reports whether a probing flow is due for a silent or lost target,
-// and if so schedules the next one.
+// probeDue reports whether a probing flow is due for a silent or lost target.
+func (h *health) probeDue(now clock.Millis) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.isProbeDue(now)
+}
+
+// isProbeDue implements probeDue without locking. The caller must hold h.mu.
+func (h *health) isProbeDue(now clock.Millis) bool {
+	return h.state.condition != answering && now >= h.nextProbe
+}
+
+// takeProbe reports whether a probing flow is due, and if so schedules the next one.
 func (h *health) takeProbe(now clock.Millis) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.state.condition == answering || now < h.nextProbe {
+	if !h.isProbeDue(now) {
 		return false
 	}
 	h.probeBackoff = min(2*h.probeBackoff, probeBackoffMax)
--- a/fleet/forward/load.go
+++ b/fleet/forward/load.go
@@ -85,3 +85,10 @@
 	defer l.mu.Unlock()
 	return l.cold.Allow(now, rate, placers)
 }
+
+// wouldAdmitCold returns what admitCold would, and counts nothing.
+func (l *upstreamLoad) wouldAdmitCold(now clock.Millis, rate float64, placers int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.cold.Allows(now, rate, placers)
+}
--- a/fleet/forward/place.go
+++ b/fleet/forward/place.go
@@ -123,57 +123,67 @@
 }
 
 // place chooses the upstream of a new flow, or returns nil if none other than
-// except accepts it. It returns the best cold upstream if that is cheaper than
-// the best answering one and its rate permits, otherwise the best answering
-// upstream. Silent upstreams get a probing flow from time to time, and if no
-// other upstream is left, the flow goes to a silent one nevertheless (panic
-// threshold).
+// except accepts it. It takes the probe or the share of a cold upstream that the
+// flow uses up.
 func (e *Engine) place(now clock.Millis, v *view, route *catalog.Route, p *Packet, k flowKey, except *target) *target {
-	hash := k.hash()
-	service := pickService(route, hash)
-	list := v.serving[service]
-	long := !e.routes.get(p.Destination).short()
-	var best, bestSilent, bestCold *target
-	var bestCost, bestSilentCost, bestColdCost float64
-	for i, t := range list {
-		if !t.entry.AcceptsNewFlows(now) || except != nil && t.load == except.load {
-			continue
-		}
-		cost := e.cost(t, long) + tieBreak(hash, i)
-		switch {
-		case now < t.entry.ColdUntil:
-			if bestCold == nil || cost < bestColdCost {
-				bestCold, bestColdCost = t, cost
-			}
-		case !isAnswering(t) || t.domain.avoided():
-			if p.Retransmits == 0 && e.probe(now, t) {
-				return t
-			}
-			if bestSilent == nil || cost < bestSilentCost {
-				bestSilent, bestSilentCost = t, cost
-			}
-		case best == nil || cost < bestCost:
-			best, bestCost = t, cost
+	pl := newPlacement(v, route, e.routes.get(p.Destination), k, except)
+	t, _ := e.choose(now, v, &pl, p.Retransmits == 0, &applied)
+	return t
+}
+
+// choose returns the upstream of a new flow and the rule that it was chosen by, or nil
+// if no upstream accepts the flow. It returns the best cold upstream if that is cheaper
+// than the best answering one and its rate permits, otherwise the best answering
+// upstream. Silent upstreams get a probing flow from time to time if probing is set, and
+// if no other upstream is left, the flow goes to a silent one nevertheless (panic
+// threshold).
+func (e *Engine) choose(now clock.Millis, v *view, pl *placement, probing bool, fx *effects) (*target, Rule) {
+	r := e.rank(now, pl)
+	if r.probeDue && probing {
+		if t := e.probe(now, pl, fx); t != nil {
+			return t, RuleProbe
 		}
 	}
-	if bestCold != nil && (best == nil || bestColdCost < bestCost) && e.admitCold(now, v, service, bestCold) {
-		return bestCold
+	switch {
+	case r.prefersCold() && e.admitCold(now, v, pl.service, r.cold.target, fx):
+		return r.cold.target, RuleCold
+	case r.answering.target != nil:
+		return r.answering.target, RuleLowestCost
+	case r.silent.target != nil:
+		return r.silent.target, RulePanic
 	}
-	if best != nil {
-		return best
+	return nil, RuleNone
+}
+
+// probe returns the first upstream that is probed with the flow, or nil if there is
+// none. Among the VMs that exchange evidence, only the aggregators of an upstream probe
+// it, but each probes a failure domain that does not answer.
+func (e *Engine) probe(now clock.Millis, pl *placement, fx *effects) *target {
+	for _, t := range pl.upstreams {
+		if !pl.admits(now, t) || !isProbed(now, t) {
+			continue
+		}
+		h, wholeDomain := probedHealth(t)
+		if fx.takeProbe(h, now) && (wholeDomain || e.isAggregator(t.entry.Token)) {
+			return t
+		}
 	}
-	return bestSilent
+	return nil
 }
 
-// probe reports whether a flow may go to t to test whether it answers again.
-// While the whole failure domain of t does not answer, one upstream is probed
-// on behalf of all. Among the VMs that exchange evidence, only the aggregators
-// of t probe it.
-func (e *Engine) probe(now clock.Millis, t *target) bool {
+// isProbed reports whether t gets flows only as probes.
+func isProbed(now clock.Millis, t *target) bool {
+	c := classOf(now, t)
+	return c == classSilent || c == classAvoided
+}
+
+// probedHealth returns the health that schedules the probes of t. While the whole
+// failure domain of t does not answer, one upstream is probed on behalf of all.
+func probedHealth(t *target) (h *health, wholeDomain bool) {
 	if t.domain.condition() != answering {
-		return t.domain.takeProbe(now)
+		return t.domain, true
 	}
-	return t.load.health.takeProbe(now) && e.isAggregator(t.entry.Token)
+	return &t.load.health, false
 }
 
 // isAggregator reports whether this VM is an aggregator of an upstream. Until the
@@ -201,21 +211,29 @@
 
 // admitCold reports whether this VM may place a flow on a cold upstream now,
 // and counts that flow.
-func (e *Engine) admitCold(now clock.Millis, v *view, service ident.ServiceName, t *target) bool {
+func (e *Engine) admitCold(now clock.Millis, v *view, service ident.ServiceName, t *target, fx *effects) bool {
+	rate, placers := e.coldShare(v, service, t)
+	return placers > 0 && fx.admitCold(t.load, now, rate, placers)
+}
+
+// coldShare returns the rate of new flows, per second over all VMs, that a cold
+// upstream can handle, and the number of VMs that share it. That number is 0 if this VM
+// is not one of them.
+func (e *Engine) coldShare(v *view, service ident.ServiceName, t *target) (rate float64, placers int) {
 	s, ok := v.catalog.Service(service)
 	if !ok || s.ColdPerSecond <= 0 {
-		return false
+		return 0, 0
 	}
 	vms := *e.vms.Load()
 	if len(vms) == 0 {
-		return false
+		return 0, 0
 	}
-	placers := warmup.Placers(s.ColdPerSecond, len(vms))
+	placers = warmup.Placers(s.ColdPerSecond, len(vms))
 	// The token only serves to rank the VMs. All VMs compute the same one.
 	if !warmup.IsPlacer(e.self, config.UpstreamID(t.entry.Token), vms, placers) {
-		return false
+		return 0, 0
 	}
-	return t.load.admitCold(now, s.ColdPerSecond, placers)
+	return s.ColdPerSecond, placers
 }
 
 // pickService picks the service of a route by weight and hash. All VMs pick the
--- /dev/null
+++ b/fleet/forward/ranking.go
@@ -0,0 +1,43 @@
+package forward
+
+import "github.com/amaranthswitch/amaranthswitch/fleet/clock"
+
+// ranking holds the cheapest candidates for a new flow. The target of a candidate is
+// nil if there is none.
+type ranking struct {
+	answering, cold candidate
+	// silent is the cheapest silent or avoided candidate.
+	silent candidate
+	// probeDue is set if a silent or avoided candidate is due for a probe.
+	probeDue bool
+}
+
+// rank ranks the upstreams that a new flow may go to. It changes nothing.
+func (e *Engine) rank(now clock.Millis, pl *placement) (r ranking) {
+	for i, t := range pl.upstreams {
+		if !pl.admits(now, t) {
+			continue
+		}
+		c := e.candidate(now, pl, i)
+		best := &r.answering
+		switch c.class {
+		case classCold:
+			best = &r.cold
+		case classSilent, classAvoided:
+			best = &r.silent
+			h, _ := probedHealth(t)
+			r.probeDue = r.probeDue || h.probeDue(now)
+		case classAnswering:
+		}
+		if c.cheaper(best) {
+			*best = c
+		}
+	}
+	return r
+}
+
+// prefersCold reports whether the cheapest cold candidate goes before all others, if
+// its rate permits.
+func (r *ranking) prefersCold() bool {
+	return r.cold.target != nil && r.cold.cheaper(&r.answering)
+}
--- a/fleet/warmup/limiter.go
+++ b/fleet/warmup/limiter.go
@@ -40,18 +40,27 @@
 // for it. The rate is that of the upstream in flows per second, which placers
 // VMs share.
 func (l *Limiter) Allow(now clock.Millis, rate float64, placers int) bool {
+	l.tokens, l.refilledAt = l.refilled(now, rate, placers), now
+	if l.tokens < 1 {
+		return false
+	}
+	l.tokens--
+	return true
+}
+
+// Allows returns what Allow would, and takes nothing.
+func (l *Limiter) Allows(now clock.Millis, rate float64, placers int) bool {
+	return l.refilled(now, rate, placers) >= 1
+}
+
+// refilled returns the number of tokens at now.
+func (l *Limiter) refilled(now clock.Millis, rate float64, placers int) float64 {
 	refill := max(0, rate/float64(placers)-1)
 	if placers == 1 && rate < minFlowsPerSecondPerPlacer {
 		refill = rate / 2
 	}
 	if l.refilledAt == 0 {
-		l.refilledAt = now
+		return l.tokens
 	}
-	l.tokens = min(1, l.tokens+refill*(now-l.refilledAt).Seconds())
-	l.refilledAt = now
-	if l.tokens < 1 {
-		return false
-	}
-	l.tokens--
-	return true
+	return min(1, l.tokens+refill*(now-l.refilledAt).Seconds())
 }
