--- a/fleet/catalog/catalog_test.go
+++ b/fleet/catalog/catalog_test.go
@@ -92,6 +92,7 @@
 				return
 			}
 			assert.Equal(t, list[0].AcceptsNewFlows(1000), test.takesNew)
+			assert.Equal(t, list[0].ClosedReason(1000) == NotClosed, test.takesNew)
 			assert.Equal(t, list[0].ColdUntil, test.cold)
 			e, ok := c.ByToken(list[0].Token)
 			assert.Assert(t, ok && e == list[0])
--- a/fleet/catalog/types.go
+++ b/fleet/catalog/types.go
@@ -36,6 +36,8 @@
 
 // Route maps an address to one service or, by weight, to several.
 type Route struct {
+	// Name is the name of the route in the configuration, "" if it has none.
+	Name    string
 	Address netip.AddrPort
 	Targets []Target
 	// Priority ranks the requests of the route when room is scarce. 0 is the highest.
--- /dev/null
+++ b/fleet/forward/explainedcandidate.go
@@ -0,0 +1,39 @@
+package forward
+
+import (
+	"net/netip"
+
+	"github.com/amaranthswitch/amaranthswitch/fleet/catalog"
+	"github.com/amaranthswitch/amaranthswitch/fleet/ident"
+)
+
+// ExplainedCandidate is an upstream as a VM sees it when it places a new flow.
+type ExplainedCandidate struct {
+	ID      catalog.UpstreamID `json:"id"`
+	Address netip.AddrPort     `json:"address"`
+	Domain  ident.DomainName   `json:"domain"`
+	// Cost is in requests in flight per slot, the penalty for another failure domain
+	// and a tie break below 0.001 included.
+	Cost float64 `json:"cost"`
+	// InFlight and Expected are the load over all VMs, as known to this one, in
+	// requests in flight: those now, and those that the open flows are expected to cause.
+	InFlight float64 `json:"inFlight"`
+	Expected float64 `json:"expected"`
+	// Slots is the number of requests that the upstream processes concurrently.
+	Slots int `json:"slots"`
+	// Class is "answering", "cold", "silent" or "avoided". An avoided upstream is in a
+	// failure domain that is lost or of which no VM is heard.
+	Class string `json:"class"`
+	// Health is that of the upstream itself: "answering", "silent" or "lost".
+	Health string `json:"health"`
+	// ProbeDue is set if a flow would be placed to test whether the upstream, or its
+	// failure domain, answers again.
+	ProbeDue bool `json:"probeDue"`
+	// Cold is set during the slow start, and ColdShare if this VM may place a flow on
+	// the cold upstream now.
+	Cold      bool `json:"cold"`
+	ColdShare bool `json:"coldShare"`
+	// Accepts is set if the upstream accepts new flows. Otherwise Closed tells why not.
+	Accepts bool                 `json:"accepts"`
+	Closed  catalog.ClosedReason `json:"closed,omitempty"`
+}
--- a/fleet/forward/packet.go
+++ b/fleet/forward/packet.go
@@ -38,6 +38,9 @@
 	Refuse
 )
 
+// String returns the action as written to explanations.
+func (a Action) String() string { return [...]string{"drop", "forward", "refuse"}[a] }
+
 // Reason is why a packet was not forwarded.
 type Reason uint8
 
--- a/fleet/forward/place.go
+++ b/fleet/forward/place.go
@@ -156,21 +156,24 @@
 }
 
 // probe returns the first upstream that is probed with the flow, or nil if there is
-// none. Among the VMs that exchange evidence, only the aggregators of an upstream probe
-// it, but each probes a failure domain that does not answer.
+// none.
 func (e *Engine) probe(now clock.Millis, pl *placement, fx *effects) *target {
 	for _, t := range pl.upstreams {
-		if !pl.admits(now, t) || !isProbed(now, t) {
-			continue
-		}
-		h, wholeDomain := probedHealth(t)
-		if fx.takeProbe(h, now) && (wholeDomain || e.isAggregator(t.entry.Token)) {
+		if pl.admits(now, t) && isProbed(now, t) && e.takesProbe(now, t, fx) {
 			return t
 		}
 	}
 	return nil
 }
 
+// takesProbe reports whether this VM probes t now. Among the VMs that exchange evidence,
+// only the aggregators of an upstream probe it, but each probes a failure domain that
+// does not answer.
+func (e *Engine) takesProbe(now clock.Millis, t *target, fx *effects) bool {
+	h, wholeDomain := probedHealth(t)
+	return fx.takeProbe(h, now) && (wholeDomain || e.isAggregator(t.entry.Token))
+}
+
 // isProbed reports whether t gets flows only as probes.
 func isProbed(now clock.Millis, t *target) bool {
 	c := classOf(now, t)
--- a/fleet/forward/routes.go
+++ b/fleet/forward/routes.go
@@ -89,9 +89,7 @@
 
 // get returns the statistics of the route to address, creating them if needed.
 func (t *routeTable) get(address netip.AddrPort) *routeStat {
-	t.mu.RLock()
-	r := t.stats[address]
-	t.mu.RUnlock()
+	r := t.find(address)
 	if r != nil {
 		return r
 	}
@@ -108,6 +106,13 @@
 	return r
 }
 
+// find returns the statistics of the route to address, or nil if it has carried no flow.
+func (t *routeTable) find(address netip.AddrPort) *routeStat {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.stats[address]
+}
+
 // updateExpected updates the expected load per flow of all routes.
 func (t *routeTable) updateExpected() {
 	t.mu.RLock()
