Serve the placement query beside metrics and status

Cause: the explanation of a placement was not reachable from outside the daemon.

Change: GET /where?to=ADDR:PORT&from=ADDR:PORT or ?route=NAME on the address of the metrics answers with the explanation as JSON, with the revision and age of the VM's copy. Malformed parameters get status 400 and unknown routes 404, with a reason as text. A route without an IPv4 address counts as unknown, since packets carry no others. Without from, the caller is an example address (RFC 5737) and fromAssumed is set.

Result: TestWhere covers answers, a refusal as an answer, and each kind of bad query.

--- a/amaranthd/entry/daemon.go
+++ b/amaranthd/entry/daemon.go
@@ -205,7 +205,7 @@
 	return d, d.serveOperators(ctx, p.Settings.Metrics, p.Cleanups)
 }
 
-// serveOperators starts the HTTP server for metrics and status. It does nothing if
+// serveOperators starts the HTTP server for metrics, status and queries. It does nothing if
 // address is not valid.
 func (d *Daemon) serveOperators(ctx context.Context, address netip.AddrPort, cleanups *teardown.List) error {
 	if !address.IsValid() {
@@ -217,6 +217,7 @@
 	}
 	cleanups.Add(cleanup)
 	d.registerMetrics(s)
+	s.HandleQuery(wherePath, d.where)
 	return nil
 }
 
--- a/amaranthd/operator/doc.go
+++ b/amaranthd/operator/doc.go
@@ -1,3 +1,3 @@
 // Package operator serves metrics in the Prometheus text format, the status and
-// the readiness of the daemon to operators over HTTP.
+// the readiness of the daemon, and answers to queries, to operators over HTTP.
 package operator
--- a/amaranthd/operator/server.go
+++ b/amaranthd/operator/server.go
@@ -12,9 +12,11 @@
 	"github.com/rotisserie/eris"
 )
 
-// Server is an HTTP server with the endpoints /metrics, /status and /ready.
+// Server is an HTTP server with the endpoints /metrics, /status and /ready, and those
+// of HandleQuery.
 type Server struct {
 	set *metrics.Set
+	mux *http.ServeMux
 }
 
 // Start serves on address until the cleanup is called. status returns the value
@@ -22,13 +24,13 @@
 // packets; if not, /ready responds with status 503.
 func Start(ctx context.Context, address netip.AddrPort, status func() any, ready func() bool) (s *Server, cleanup func(), err error) {
 	defer func() { err = eris.Wrapf(err, "operator: serve %s", address) }()
-	s = &Server{set: metrics.NewSet()}
+	mux := http.NewServeMux()
+	s = &Server{set: metrics.NewSet(), mux: mux}
 	var lc net.ListenConfig
 	ln, err := lc.Listen(ctx, "tcp", address.String())
 	if err != nil {
 		return nil, nil, err
 	}
-	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		s.set.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
