--- a/amaranthctl/main.go
+++ b/amaranthctl/main.go
@@ -1,6 +1,6 @@
 // Command amaranthctl is the command-line tool for operators. It validates and
 // compares configuration files, explains requests from logs, shows the state of
-// daemons and runs experiments in virtual time.
+// daemons and where they would place flows, and runs experiments in virtual time.
 package main
 
 import (
@@ -25,6 +25,6 @@
 		Description: "Exit status: 0 if all went well, 1 if a file is not acceptable, a daemon does not\n" +
 			"answer, a request is not found or the command line is wrong.",
 		EnableShellCompletion: true,
-		Commands:              []*cli.Command{checkCommand(), diffCommand(), experimentCommand(), explainCommand(), statusCommand()},
+		Commands:              []*cli.Command{checkCommand(), diffCommand(), experimentCommand(), explainCommand(), statusCommand(), whereCommand()},
 	}
 }
--- /dev/null
+++ b/amaranthctl/whereanswer.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/netip"
+	"text/tabwriter"
+
+	"github.com/amaranthswitch/amaranthswitch/fleet/forward"
+)
+
+// whereAnswer holds the fields of a VM's answer that the table shows.
+type whereAnswer struct {
+	VM            string              `json:"vm"`
+	Domain        string              `json:"domain"`
+	Version       uint64              `json:"version"`
+	Revision      uint64              `json:"revision"`
+	CopyAgeMillis int64               `json:"copyAgeMillis"`
+	To            netip.AddrPort      `json:"to"`
+	From          netip.AddrPort      `json:"from"`
+	FromAssumed   bool                `json:"fromAssumed"`
+	Placement     forward.Explanation `json:"placement"`
+}
+
+// ruleTexts describes the rules by which an upstream is chosen.
+var ruleTexts = map[forward.Rule]string{
+	forward.RuleProbe:      "a probe, to see whether it answers again",
+	forward.RuleCold:       "lowest cost, cold, and this VM has some of its rate left",
+	forward.RuleLowestCost: "lowest cost of those that answer",
+	forward.RulePanic:      "lowest cost, as no upstream is known to answer",
+}
+
+// print writes the answer as text with a table of the candidates.
+func (a *whereAnswer) print(w io.Writer) error {
+	fmt.Fprintf(w, "%s in failure domain %s: configuration %d, revision %d, copy confirmed %d ms ago\n",
+		a.VM, a.Domain, a.Version, a.Revision, a.CopyAgeMillis)
+	p := &a.Placement
+	fmt.Fprintf(w, "flow from %s to %s: %s\n", a.From, a.To, decisionText(p))
+	if a.FromAssumed {
+		fmt.Fprintln(w, "--from is missing, so the caller is an example. The caller decides among upstreams of equal cost (tie break) and among the services of a route.")
+	}
+	if p.Service == "" {
+		return nil
+	}
+	length := "one request"
+	if p.Long {
+		length = "many requests"
+	}
+	fmt.Fprintf(w, "route %s, priority %d, service %s, %s expected\n\n", p.Route, p.Priority, p.Service, length)
+	tw := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(tw, "UPSTREAM\tADDRESS\tDOMAIN\tCOST\tIN FLIGHT\tEXPECTED\tSLOTS\tHEALTH\tCLASS\tNEW FLOWS")
+	for i := range p.Candidates {
+		c := &p.Candidates[i]
+		fmt.Fprintf(tw, "%s\t%s\t%s\t%.4f\t%.2f\t%.2f\t%d\t%s\t%s\t%s\n",
+			c.ID, c.Address, c.Domain, c.Cost, c.InFlight, c.Expected, c.Slots, c.Health, c.Class, newFlowsText(c, p))
+	}
+	return tw.Flush()
+}
+
+// decisionText describes what would become of the flow.
+func decisionText(p *forward.Explanation) string {
+	if p.Upstream == "" {
+		return fmt.Sprintf("%s (%s)", p.Action, p.Reason)
+	}
+	text, ok := ruleTexts[p.Rule]
+	if !ok { // a later version of the VM
+		text = string(p.Rule)
+	}
+	return fmt.Sprintf("%s to %s (%s)", p.Action, p.Upstream, text)
+}
+
+// newFlowsText describes whether a candidate gets new flows.
+func newFlowsText(c *forward.ExplainedCandidate, p *forward.Explanation) string {
+	switch {
+	case c.ID == p.Upstream:
+		return "this one"
+	case !c.Accepts:
+		return "no: " + string(c.Closed)
+	case c.Cold && !c.ColdShare:
+		return "no share of the rate left"
+	case c.Cold:
+		return "at a limited rate"
+	case c.ProbeDue:
+		return "probe due"
+	case c.Class != "answering":
+		return "probes only"
+	}
+	return "yes"
+}
