Hold back flows of low priority while upstreams reject requests

Cause: under overload of all kinds upstreams reject requests of every priority alike. Change: an engine has an admission.Controller for each service whose routes have more than one priority. It records rejections by the size of answers and decides on openings that the VM has not placed yet, with the reasons noRoom (refused) and awaitRoom (dropped). An opening is placed all the same if the upstream of least cost has none of the VM's requests in flight and rejected nothing for 500 ms. A request is rejected only while the pressure is above the limit.

--- a/amaranthd/entry/decisions.go
+++ b/amaranthd/entry/decisions.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 
 	"github.com/amaranthswitch/amaranthswitch/fleet/catalog"
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
@@ -11,8 +12,8 @@
 	"github.com/amaranthswitch/amaranthswitch/fleet/gossip"
 )
 
-// decisionLogger returns callbacks that log the health changes and flow placements
-// of an engine.
+// decisionLogger returns callbacks that log the health changes, flow placements and
+// admitted shares of an engine.
 func decisionLogger(log *slog.Logger) forward.Hooks {
 	ctx := context.Background()
 	return forward.Hooks{
@@ -42,9 +43,16 @@
 		Distrusted: func(late clock.Millis) {
 			event.Log(ctx, log, event.EvidenceDistrusted, slog.Int64("lateMillis", int64(late)))
 		},
+		Admission: func(c forward.AdmissionChange) {
+			event.Log(ctx, log, event.AdmissionChanged, slog.String("service", string(c.Service)), slog.Int("priority", int(c.Priority)),
+				slog.Float64("share", roundShare(c.Share)), slog.Float64("pressure", roundShare(c.Pressure)))
+		},
 	}
 }
 
+// roundShare rounds a share to three digits for the log.
+func roundShare(share float64) float64 { return math.Round(share*1000) / 1000 }
+
 // flowAttrs returns the log attributes that identify the flow of a packet.
 func flowAttrs(p *forward.Packet) []slog.Attr {
 	return []slog.Attr{slog.String("caller", p.Caller.String()), slog.String("service", p.Destination.String())}
--- a/fleet/admission/controller.go
+++ b/fleet/admission/controller.go
@@ -44,7 +44,8 @@
 
 // Decide decides on a request to open a flow. Copies of one packet get the same verdict
 // while the admitted share is the same, except that a copy is never rejected: another
-// VM may have opened the flow since.
+// VM may have opened the flow since. A request is rejected only while the pressure is
+// above the limit, and waits if a copy of it can still be served on time.
 func (c *Controller) Decide(now clock.Millis, r Request) Verdict {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -55,6 +56,8 @@
 		return Place
 	case r.Retransmits > 0, r.LatencyTarget-firstRetransmit > r.Typical:
 		return Wait
+	case c.pressure.share(now) <= c.options.limit:
+		return Wait // the share rises, and upstreams may have room already
 	}
 	return Reject
 }
--- a/fleet/forward/answer.go
+++ b/fleet/forward/answer.go
@@ -7,5 +7,5 @@
 func (e *Engine) recordAnswer(now clock.Millis, f *flow, bytes uint32) {
 	took := now - f.sentAt
 	e.hooks.Answered(took)
-	_ = f.route.quality.Record(now, took, bytes)
+	e.recordAdmission(now, f, f.route.quality.Record(now, took, bytes).Rejected)
 }
--- a/fleet/forward/engine.go
+++ b/fleet/forward/engine.go
@@ -5,6 +5,7 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/amaranthswitch/amaranthswitch/fleet/admission"
 	"github.com/amaranthswitch/amaranthswitch/fleet/catalog"
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
 	"github.com/amaranthswitch/amaranthswitch/fleet/ident"
@@ -23,6 +24,8 @@
 	serving map[ident.ServiceName][]*target
 	tokens  map[catalog.Token]*target
 	targets []*target // those in serving; tokens may hold several for an upstream
+	// admission holds the services with a route.
+	admission map[ident.ServiceName]*serviceAdmission
 }
 
 // loadKey identifies one run of an upstream. A restarted upstream has a new
@@ -49,6 +52,9 @@
 	// of the flow, and Answered with the time from a request to its first
 	// acknowledged answer, both as seen by this VM.
 	Opened, Answered func(took clock.Millis)
+	// Admission is called when the admitted share of new flows of a priority changes,
+	// at most once per second for each service.
+	Admission func(c AdmissionChange)
 }
 
 // Option configures an Engine.
@@ -62,13 +68,15 @@
 
 // Engine decides how to handle packets. It is safe for concurrent use.
 type Engine struct {
-	self         ident.VMID
-	domain       ident.DomainName
-	policy       Policy
-	hooks        Hooks
-	view         atomic.Pointer[view]
-	vms          atomic.Pointer[[]ident.VMID]
-	localVMCount atomic.Int32
+	self   ident.VMID
+	domain ident.DomainName
+	policy Policy
+	hooks  Hooks
+	// admissionOptions are those of the admission controllers.
+	admissionOptions []admission.Option
+	view             atomic.Pointer[view]
+	vms              atomic.Pointer[[]ident.VMID]
+	localVMCount     atomic.Int32
 	// domainVMs are the VMs that exchange evidence about upstreams.
 	domainVMs atomic.Pointer[[]ident.VMID]
 	flows     *flowTable
@@ -115,6 +123,7 @@
 			Lost:       func(*Packet, *catalog.Entry) {},
 			Distrusted: func(clock.Millis) {},
 			Opened:     func(clock.Millis) {}, Answered: func(clock.Millis) {},
+			Admission: func(AdmissionChange) {},
 		},
 	}
 	e.vms.Store(&[]ident.VMID{})
@@ -157,6 +166,7 @@
 	}
 	e.loads = loads
 	e.retainSuspects(v)
+	v.admission = e.admissions(c, e.view.Load())
 	e.view.Store(v)
 	e.routes.retain(func(a netip.AddrPort) bool { _, ok := c.Route(a); return ok })
 }
@@ -203,8 +213,8 @@
 // TickInterval is the period at which Tick must be called.
 const TickInterval clock.Millis = 50
 
-// Tick expires flows of one shard, samples loads, and checks whether this VM is in
-// time.
+// Tick expires flows of one shard, samples loads, adjusts the admitted shares of new
+// flows, and checks whether this VM is in time.
 func (e *Engine) Tick(now clock.Millis) {
 	e.checkLateness(now)
 	s := &e.flows.shards[e.nextShard%shardCount]
@@ -215,6 +225,7 @@
 		for _, t := range v.targets {
 			t.load.sample()
 		}
+		e.tickAdmission(now, v)
 	}
 	if now-e.routesUpdatedAt >= routeUpdateInterval {
 		e.routesUpdatedAt = now
--- a/fleet/forward/load.go
+++ b/fleet/forward/load.go
@@ -31,9 +31,11 @@
 	// added is the expected load added by this VM since the last reports of its
 	// peers. Each peer is assumed to have added as much, which its next report
 	// will include.
-	added  atomic.Int32
-	peers  atomic.Pointer[Load]
-	health health
+	added atomic.Int32
+	// rejectedAt is the time in clock.Millis at which this VM last saw a rejection.
+	rejectedAt atomic.Int64
+	peers      atomic.Pointer[Load]
+	health     health
 
 	mu   sync.Mutex
 	cold warmup.Limiter
--- a/fleet/forward/packet.go
+++ b/fleet/forward/packet.go
@@ -55,13 +55,19 @@
 	// UpstreamLost means that the upstream is lost or was removed, so that the
 	// flow cannot continue.
 	UpstreamLost
+	// NoRoom means that the upstreams reject requests, and that the flow is not among
+	// those admitted.
+	NoRoom
+	// AwaitRoom means the same, for a flow whose opening packet the caller will repeat
+	// in time.
+	AwaitRoom
 	// ReasonCount is the number of reasons, NoReason included.
 	ReasonCount
 )
 
 // String returns the reason as written to logs and metrics.
 func (r Reason) String() string {
-	return [...]string{"none", "noCatalog", "noRoute", "noUpstream", "unknownToken", "upstreamLost"}[r]
+	return [...]string{"none", "noCatalog", "noRoute", "noUpstream", "unknownToken", "upstreamLost", "noRoom", "awaitRoom"}[r]
 }
 
 // Decision is what to do with a packet.
--- a/fleet/forward/place.go
+++ b/fleet/forward/place.go
@@ -66,6 +66,15 @@
 		}
 		except = f.target
 	}
+	if except == nil {
+		if reason := e.admit(now, v, route, p, k); reason == AwaitRoom {
+			return e.drop(reason)
+		} else if reason != NoReason {
+			d = e.refuse(reason)
+			e.hooks.Placed(p, d, nil)
+			return d
+		}
+	}
 	t := e.place(now, v, route, p, k, except)
 	if t == nil {
 		t = except
