--- a/fleet/forward/admission.go
+++ b/fleet/forward/admission.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"maps"
 	"math"
 	"slices"
 
@@ -169,14 +170,15 @@
 	}
 }
 
-// AdmittedShares returns the admitted share of each service and priority with a route.
-// It is 1 where all routes of a service have the same priority.
+// AdmittedShares returns the admitted share of each service and priority with a route,
+// ordered by both. It is 1 where all routes of a service have the same priority.
 func (e *Engine) AdmittedShares() (list []AdmittedShare) {
 	v := e.view.Load()
 	if v == nil {
 		return nil
 	}
-	for service, a := range v.admission {
+	for _, service := range slices.Sorted(maps.Keys(v.admission)) {
+		a := v.admission[service]
 		for _, p := range a.priorities {
 			share := 1.0
 			if a.controller != nil {
--- a/standin/emulator/simulation.go
+++ b/standin/emulator/simulation.go
@@ -221,10 +221,12 @@
 	vm.Engine.SetCatalog(sim.catalog())
 }
 
-// Kill ends a VM. Its flows continue over other VMs of its failure domain, one of which
-// must be left.
-func (sim *Simulation) Kill(vm *VM) {
-	vm.dead = true
+// Kill ends VMs. Their flows continue over other VMs of the same failure domain, one of
+// which must be left.
+func (sim *Simulation) Kill(vms ...*VM) {
+	for _, vm := range vms {
+		vm.dead = true
+	}
 	var ids []ident.VMID
 	for _, other := range sim.VMs {
 		if !other.dead {
