Show admission to operators

Cause: nobody sees that a VM holds back flows, or why.

Measured: go test ./amaranthctl ./amaranthd/entry ./platform passes.

--- a/amaranthctl/explain.go
+++ b/amaranthctl/explain.go
@@ -51,6 +51,7 @@
 	causeUpstreamLost cause = "the upstream fell silent and the flow was reset"
 	causeNoRoute      cause = "the address led to no service in the configuration that the VM knew"
 	causeNoUpstream   cause = "no upstream of the service took new flows"
+	causeNoRoom       cause = "upstreams of the service rejected requests, and the VM held back this priority"
 	causeUnknownToken cause = "the packets named an upstream that the VM did not know"
 	causeRemoved      cause = "the upstream was no longer published"
 	causeNone         cause = "the daemons forwarded it and saw nothing wrong"
@@ -195,7 +196,7 @@
 	case "itemChanged", "itemInvalid":
 		name := l.Key[strings.LastIndexByte(l.Key, '/')+1:]
 		return upstreams[name] || domains[name] || strings.HasSuffix(l.Key, "config")
-	case "daemonStarted", "daemonLeaving", "daemonStopped", "pauseDetected", "evidenceDistrusted", "platformDown", "platformBack", "catalogTaken":
+	case "admissionChanged", "daemonStarted", "daemonLeaving", "daemonStopped", "pauseDetected", "evidenceDistrusted", "platformDown", "platformBack", "catalogTaken":
 		return true
 	}
 	return false
@@ -224,6 +225,8 @@
 		return causeNoRoute
 	case reasons["noUpstream"]:
 		return causeNoUpstream
+	case reasons["noRoom"]:
+		return causeNoRoom
 	case reasons["unknownToken"]:
 		return causeUnknownToken
 	case removed:
--- a/amaranthctl/main_test.go
+++ b/amaranthctl/main_test.go
@@ -77,6 +77,9 @@
 	assert.NilError(t, err)
 	assert.Assert(t, strings.HasSuffix(out, "cause: "+string(causeUpstreamLost)+"\n"), out)
 	assert.Equal(t, strings.Count(out, "\n"), 4)
+	refused := `{"time":"2026-01-01T00:00:02Z","msg":"flowRefused","vm":"v1","caller":"1.2.3.4:6","reason":"noRoom"}`
+	out, err = runCommand(t, refused, "explain", "1.2.3.4:6")
+	assert.Assert(t, err == nil && strings.HasSuffix(out, "cause: "+string(causeNoRoom)+"\n"), out)
 	_, err = runCommand(t, testLog, "explain", "r2")
 	assert.ErrorContains(t, err, `names "r2"`)
 	_, err = runCommand(t, "", "explain", "r1", "absent.log")
--- a/amaranthd/entry/metrics.go
+++ b/amaranthd/entry/metrics.go
@@ -53,6 +53,11 @@
 		s.Gauge(fmt.Sprintf("amaranth_entry_packets_dropped_total{reason=%q}", r), func() float64 { return float64(d.engine.Dropped[r].Load()) })
 		s.Gauge(fmt.Sprintf("amaranth_entry_packets_refused_total{reason=%q}", r), func() float64 { return float64(d.engine.Refused[r].Load()) })
 	}
+	s.Gauges(func(write func(name string, value float64)) {
+		for _, a := range d.engine.AdmittedShares() {
+			write(fmt.Sprintf("amaranth_entry_admitted_share{service=%q,priority=\"%d\"}", a.Service, a.Priority), a.Share)
+		}
+	})
 	d.latencies.opened = func(took clock.Millis) { s.Observe(openingHistogram, took.Seconds()) }
 	d.latencies.answered = func(took clock.Millis) { s.Observe(answerHistogram, took.Seconds()) }
 	d.latencies.activated = func(took clock.Millis) { s.Observe(activationHistogram, took.Seconds()) }
--- a/amaranthd/operator/server.go
+++ b/amaranthd/operator/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -51,6 +52,14 @@
 // Gauge registers a gauge whose value is read on each scrape.
 func (s *Server) Gauge(name string, read func() float64) { s.set.NewGauge(name, read) }
 
+// Gauges registers gauges whose names depend on what is known at the time of a scrape.
+// read passes each to write.
+func (s *Server) Gauges(read func(write func(name string, value float64))) {
+	s.set.RegisterMetricsWriter(func(w io.Writer) {
+		read(func(name string, value float64) { metrics.WriteGaugeFloat64(w, name, value) })
+	})
+}
+
 // Count adds one to a counter, which is created on first use.
 func (s *Server) Count(name string) { s.set.GetOrCreateCounter(name).Inc() }
 
