Place flows by slowness and rejections of upstreams

Cause: a new flow goes to any upstream that looks free, including those that are slow or have just rejected every request. Change: answers feed the quality of their upstream, which begins anew when it restarts; each Tick turns own and reported samples into slowness and excess rejections, which cost reads without exponentials. An upstream that rejects more than others counts as having at least their mean load, since one that fails at once has none. Policy.IgnoreQuality switches all this off.

--- a/fleet/forward/answer.go
+++ b/fleet/forward/answer.go
@@ -3,9 +3,13 @@
 import "github.com/amaranthswitch/amaranthswitch/fleet/clock"
 
 // recordAnswer records that the request in flight of f was answered. bytes is the size
-// of the part of the answer that the caller acknowledged first.
+// of the part of the answer that the caller acknowledged first. It counts for the quality of the upstream.
 func (e *Engine) recordAnswer(now clock.Millis, f *flow, bytes uint32) {
 	took := now - f.sentAt
 	e.hooks.Answered(took)
-	_ = f.route.quality.Record(now, took, bytes)
+	a := f.route.quality.Record(now, took, bytes)
+	if a.Rejected {
+		e.RejectedAnswers.Add(1)
+	}
+	f.target.load.quality.record(now, a)
 }
--- a/fleet/forward/engine.go
+++ b/fleet/forward/engine.go
@@ -91,6 +91,8 @@
 	// Refused and Dropped count packets by reason. Refused[UpstreamLost] also
 	// counts resets of flows that sent no further packet.
 	Refused, Dropped [ReasonCount]atomic.Int64
+	// RejectedAnswers counts the answers that reject a request.
+	RejectedAnswers atomic.Int64
 	// LateTicks counts the calls of Tick that came late.
 	LateTicks atomic.Int64
 	// Flows is the estimated number of tracked flows, extrapolated from the
@@ -203,7 +205,7 @@
 // TickInterval is the period at which Tick must be called.
 const TickInterval clock.Millis = 50
 
-// Tick expires flows of one shard, samples loads, and checks whether this VM is in
+// Tick expires flows of one shard, samples loads, updates qualities, and checks whether this VM is in
 // time.
 func (e *Engine) Tick(now clock.Millis) {
 	e.checkLateness(now)
@@ -215,6 +217,7 @@
 		for _, t := range v.targets {
 			t.load.sample()
 		}
+		e.updateQuality(now, v)
 	}
 	if now-e.routesUpdatedAt >= routeUpdateInterval {
 		e.routesUpdatedAt = now
--- a/fleet/forward/load.go
+++ b/fleet/forward/load.go
@@ -22,7 +22,7 @@
 	InFlight int32
 }
 
-// upstreamLoad is the load and health of one upstream, as observed by this VM
+// upstreamLoad is the load, health and quality of one upstream, as observed by this VM
 // and reported by others.
 type upstreamLoad struct {
 	expected     atomic.Int32
@@ -31,9 +31,10 @@
 	// added is the expected load added by this VM since the last reports of its
 	// peers. Each peer is assumed to have added as much, which its next report
 	// will include.
-	added  atomic.Int32
-	peers  atomic.Pointer[Load]
-	health health
+	added   atomic.Int32
+	peers   atomic.Pointer[Load]
+	health  health
+	quality upstreamQuality
 
 	mu   sync.Mutex
 	cold warmup.Limiter
--- a/fleet/forward/place.go
+++ b/fleet/forward/place.go
@@ -25,6 +25,9 @@
 	// InFlightWeightLong is the weight of a request in flight when a flow that
 	// carries many is placed. It is 1 for a flow that carries one.
 	InFlightWeightLong float64
+	// IgnoreQuality makes costs independent of the slowness and the rejections of
+	// upstreams.
+	IgnoreQuality bool
 }
 
 // DefaultPolicy returns the policy of an Engine without WithPolicy.
@@ -36,7 +39,7 @@
 // locality. Its load is the requests in flight for a flow that carries one
 // request, and the expected load for a flow that carries many. Equal loads are
 // spread by hash.
-func LeastLoadedPolicy() Policy { return Policy{} }
+func LeastLoadedPolicy() Policy { return Policy{IgnoreQuality: true} }
 
 // LocalPolicy returns a baseline that prefers the upstreams of the own failure
 // domain, however loaded they are. Apart from probing flows, a flow leaves the
@@ -185,12 +188,14 @@
 
 // cost returns the cost of placing a flow on t, in requests in flight per slot.
 func (e *Engine) cost(t *target, long bool) float64 {
-	s := t.load.total(e.localVMCount.Load())
+	slots := max(1, t.entry.Slots)
+	s := t.load.quality.atLeast(t.load.total(e.localVMCount.Load()), slots)
 	inFlight, expected, remote := 1.0, e.policy.ExpectedWeight, e.policy.RemotePenalty
 	if long {
 		inFlight, expected, remote = e.policy.InFlightWeightLong, 1, e.policy.RemotePenaltyLong
 	}
-	cost := (inFlight*float64(s.InFlight) + expected*float64(s.Expected)) / float64(loadPerRequest*max(1, t.entry.Slots))
+	load := (inFlight*float64(s.InFlight) + expected*float64(s.Expected)) / float64(loadPerRequest*slots)
+	cost := t.load.quality.cost(load)
 	if !e.isLocal(t) {
 		cost += remote
 	}
