Emulate the exchange of samples, unequal speeds and failing upstreams

Cause: the emulator could not show what quality does: rejections had the size of other answers, VMs always shared their loads, and latencies were not kept.

--- a/standin/emulator/caller.go
+++ b/standin/emulator/caller.go
@@ -17,10 +17,11 @@
 	minRetransmitTimeout clock.Millis = 200
 	maxRetransmitTimeout clock.Millis = 1600
 	// openTimeout is the time after which an unanswered open fails.
-	openTimeout   clock.Millis = 1400
-	requestBytes               = 500
-	responseBytes              = 2000
-	firstPort                  = 1024
+	openTimeout    clock.Millis = 1400
+	requestBytes                = 500
+	responseBytes               = 2000
+	rejectionBytes              = 120
+	firstPort                   = 1024
 )
 
 // openTransmitTimes are the times, from the start of an open, at which its opening
@@ -50,6 +51,8 @@
 	// Issued counts the requests made. Each ends as OnTime, as Late, that is answered
 	// after the latency target, or as Failed.
 	Issued, OnTime, Late, Failed int
+	// Latencies holds the latency of each answered request.
+	Latencies []clock.Millis
 
 	byPort map[netip.AddrPort]*Flow
 }
@@ -239,15 +242,19 @@
 	}
 	f.answered = true
 	f.seq += requestBytes
-	f.ack += responseBytes
-	f.sendPacket(0)
 	c := f.caller
 	if !served {
+		f.ack += rejectionBytes
+		f.sendPacket(0)
 		f.close()
 		c.retry()
 		return
 	}
-	if took := c.sim.Now - c.current.started; took <= c.load.LatencyTarget {
+	f.ack += responseBytes
+	f.sendPacket(0)
+	took := c.sim.Now - c.current.started
+	c.load.Latencies = append(c.load.Latencies, took)
+	if took <= c.load.LatencyTarget {
 		c.load.OnTime++
 	} else {
 		c.load.Late++
--- a/standin/emulator/simulation.go
+++ b/standin/emulator/simulation.go
@@ -41,6 +41,8 @@
 	Domains []Domain
 	// Slots is the number of requests that an upstream runs concurrently.
 	Slots int
+	// Speeds are the speeds of the upstreams in rotation. All are 1 if it is empty.
+	Speeds []float64
 	// QueueCapacity is the number of requests that can wait at an upstream; further
 	// ones are shed.
 	QueueCapacity int
@@ -50,6 +52,11 @@
 	ColdPerSecond float64
 	// NoSuspicionGossip stops VMs from sharing suspicions of unresponsive upstreams.
 	NoSuspicionGossip bool
+	// SampleDelay is the age at which samples of the answers of upstreams reach other
+	// VMs.
+	SampleDelay clock.Millis
+	// NoLoadGossip stops VMs from sharing their loads, as those of large fleets do.
+	NoLoadGossip bool
 	// LossRate is the probability that a packet is lost.
 	LossRate float64
 	// MaxFlows is the number of flows that an upstream holds. It ignores further
@@ -178,6 +185,7 @@
 		}
 	})
 	sim.every(loadGossipInterval, sim.gossipLoads)
+	sim.startSampleGossip()
 	return sim
 }
 
@@ -194,7 +202,9 @@
 	}))
 	vm.Engine.SetVMs(all)
 	vm.Engine.SetDomainVMs(local)
-	vm.Engine.SetLocalVMCount(len(local))
+	if !sim.setup.NoLoadGossip {
+		vm.Engine.SetLocalVMCount(len(local))
+	}
 }
 
 // Restart restarts the process of a VM, which then knows the current catalog and no
@@ -225,6 +235,9 @@
 		ID: catalog.UpstreamID(id), EncapID: u.encapID, Service: ServiceName, Domain: domain, Slots: sim.setup.Slots,
 		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(len(sim.Upstreams) >> 8), byte(len(sim.Upstreams))}), 80),
 	}
+	if speeds := sim.setup.Speeds; len(speeds) > 0 {
+		u.Speed = speeds[len(sim.Upstreams)%len(speeds)]
+	}
 	sim.Upstreams = append(sim.Upstreams, u)
 	return u
 }
@@ -271,6 +284,9 @@
 
 // gossipLoads gives each VM the summed loads of the VMs that it can reach.
 func (sim *Simulation) gossipLoads() {
+	if sim.setup.NoLoadGossip {
+		return
+	}
 	own := make([]map[catalog.Token]forward.Load, len(sim.VMs))
 	for i, vm := range sim.VMs {
 		own[i] = vm.Engine.Loads()
--- a/standin/emulator/upstream.go
+++ b/standin/emulator/upstream.go
@@ -16,9 +16,12 @@
 	Deregistered bool
 	// Speed divides the service times; 1 is normal.
 	Speed float64
+	// Failing makes the upstream reject every request at once.
+	Failing bool
 	// OpenTimes holds the arrival times of opening packets.
 	OpenTimes []clock.Millis
-	// Served counts the completed requests, and Shed those refused as the queue was full.
+	// Served counts the completed requests, and Shed those refused as the queue was full
+	// or the upstream was failing.
 	Served, Shed int
 
 	sim       *Simulation
@@ -112,6 +115,9 @@
 		u.sim.after(clock.Millis(float64(f.caller.load.ServiceTime(u.sim.rng))/u.Speed), func() { u.process.run(func() { u.completeRequest(f, request) }) })
 	}
 	switch {
+	case u.Failing:
+		u.Shed++
+		u.reply(f, func() { f.handleResponse(request, false) })
 	case u.active < u.sim.setup.Slots:
 		start()
 	case len(u.queue) < u.sim.setup.QueueCapacity:
--- a/standin/experiment/report.go
+++ b/standin/experiment/report.go
@@ -11,6 +11,8 @@
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
+
+	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
 )
 
 const (
@@ -56,6 +58,9 @@
 	Sum    Counts `json:"sum"`
 	// Steps holds the counts of each second after the warm-up.
 	Steps []Counts `json:"steps"`
+	// P99Millis is the 99th percentile of the latencies of answered requests, of the seed
+	// for which it is highest.
+	P99Millis clock.Millis `json:"p99Millis"`
 	// Resets counts the open flows that VMs reset, and SpuriousResets those whose
 	// upstream was alive and reachable.
 	Resets         int `json:"resets"`
@@ -87,11 +92,11 @@
 // Table writes the report as a table.
 func (r *Report) Table(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(t, "policy\tin aim\tserved\tworst second\tin aim\tlate\tfailed\tresets\twrong")
+	_, _ = fmt.Fprintln(t, "policy\tin aim\tserved\tworst second\tin aim\tlate\tfailed\tp99 ms\tresets\twrong")
 	for i := range r.Results {
 		x := &r.Results[i]
-		_, _ = fmt.Fprintf(t, "%s\t%.4f\t%.4f\t%.4f\t%d\t%d\t%d\t%d\t%d\n", x.Policy, x.Sum.OnTimeShare(), x.Sum.ServedShare(),
-			x.worstStepShare(), x.Sum.OnTime, x.Sum.Late, x.Sum.Failed, x.Resets, x.SpuriousResets)
+		_, _ = fmt.Fprintf(t, "%s\t%.4f\t%.4f\t%.4f\t%d\t%d\t%d\t%d\t%d\t%d\n", x.Policy, x.Sum.OnTimeShare(), x.Sum.ServedShare(),
+			x.worstStepShare(), x.Sum.OnTime, x.Sum.Late, x.Sum.Failed, x.P99Millis, x.Resets, x.SpuriousResets)
 	}
 	return eris.Wrap(t.Flush(), "experiment: write table")
 }
--- a/standin/experiment/run.go
+++ b/standin/experiment/run.go
@@ -37,6 +37,9 @@
 		spec.Faults[i].schedule(sim, start, rand.New(rand.NewPCG(seed, uint64(i))))
 	}
 	sim.Run(start + spec.WarmUpMillis)
+	for _, l := range loads {
+		l.Latencies = nil
+	}
 	last := sumCounts(loads)
 	for i, at := 0, spec.WarmUpMillis; at < spec.LengthMillis; i++ {
 		at = min(at+stepInterval, spec.LengthMillis)
@@ -45,6 +48,7 @@
 		result.add(i, now.minus(last))
 		last = now
 	}
+	result.P99Millis = max(result.P99Millis, emulator.Percentile(loads, 0.99))
 	result.Resets += sim.Resets
 	result.SpuriousResets += sim.SpuriousResets
 }
@@ -53,6 +57,7 @@
 	s := emulator.Setup{
 		Seed: seed, Slots: spec.Fleet.Slots, QueueCapacity: spec.Fleet.QueueCapacity, Policy: forward.DefaultPolicy(),
 		ColdPerSecond: spec.Fleet.ColdPerSecond, LossRate: spec.Fleet.LossShare, NoSuspicionGossip: p.NoSuspicionGossip,
+		Speeds: spec.Fleet.Speeds, NoLoadGossip: spec.Fleet.NoLoadGossip,
 	}
 	switch p.Placement {
 	case HashPlacement:
@@ -61,6 +66,7 @@
 		s.Policy = forward.LocalPolicy()
 	case DefaultPlacement:
 	}
+	s.Policy.IgnoreQuality = s.Policy.IgnoreQuality || p.IgnoreQuality
 	for _, d := range spec.Fleet.Domains {
 		s.Domains = append(s.Domains, emulator.Domain{Name: d.Name, VMs: d.VMs, Upstreams: d.Upstreams})
 	}
--- a/standin/experiment/spec.go
+++ b/standin/experiment/spec.go
@@ -36,6 +36,11 @@
 	ColdPerSecond float64 `toml:"coldPerSecond"`
 	// LossShare is the probability that a packet is lost, at least 0 and below 1.
 	LossShare float64 `toml:"lossShare"`
+	// Speeds are the relative speeds of the upstreams in rotation. All are 1 if it is
+	// empty.
+	Speeds []float64 `toml:"speeds"`
+	// NoLoadGossip stops VMs from sharing their loads, as those of large fleets do.
+	NoLoadGossip bool `toml:"noLoadGossip"`
 }
 
 // Domain is a failure domain.
@@ -110,6 +115,8 @@
 	Placement Placement `toml:"placement"`
 	// NoSuspicionGossip stops VMs from sharing suspicions of unresponsive upstreams.
 	NoSuspicionGossip bool `toml:"alone"`
+	// IgnoreQuality makes placement independent of how upstreams answer.
+	IgnoreQuality bool `toml:"ignoreQuality"`
 }
 
 // Parse decodes an experiment in TOML and validates it. Unknown fields are an error.
@@ -138,6 +145,7 @@
 		{"fleet.domains", len(spec.Fleet.Domains) == 0, "must not be empty"},
 		{"fleet.slots", spec.Fleet.Slots <= 0, "must be positive"},
 		{"fleet.lossShare", spec.Fleet.LossShare < 0 || spec.Fleet.LossShare >= 1, "must be at least 0 and below 1"},
+		{"fleet.speeds", slices.ContainsFunc(spec.Fleet.Speeds, func(s float64) bool { return s <= 0 }), "must be positive"},
 		{"load", len(spec.Loads) == 0, "must not be empty"},
 		{"policy", len(spec.Policies) == 0, "must not be empty"},
 	} {
