Report samples of upstreams within a failure domain

Cause: in a large fleet a VM sees an upstream answer about once a second or less. A report is a datagram of its own, a CBOR map: decoders of a toarray struct refuse arrays with another number of elements, in both directions, so Message cannot grow. Older VMs discard reports and count them as invalid; maps with fields missing or added decode. Metrics count slow upstreams and rejections.

--- a/amaranthd/entry/fuzz_test.go
+++ b/amaranthd/entry/fuzz_test.go
@@ -36,7 +36,8 @@
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var msg gossip.Message
-		if cbor.Unmarshal(data, &msg) != nil {
+		var report gossip.Report
+		if cbor.Unmarshal(data, &msg) != nil && cbor.Unmarshal(data, &report) != nil {
 			return
 		}
 		e := forward.New("vm", "a")
@@ -49,6 +50,8 @@
 		e.MergeSuspicions(fuzzNow, suspicionsFromGossip(fuzzNow, 0, msg.Suspicions))
 		out = append(out, g.Round(fuzzNow, r.localCopy(), nil)...)
 		out = append(out, g.DisseminateSuspicions(fuzzNow, r.localCopy(), suspicionsToGossip(fuzzNow, e.Suspicions(fuzzNow)), forward.Aggregators)...)
+		g.ReceiveReport(fuzzNow, &report)
+		e.SetPeerSamples(g.RemoteSamples(fuzzNow))
 		g.Partitioned(fuzzNow, "b")
 		g.Rank(fuzzNow)
 		for i := range out {
--- a/amaranthd/entry/metrics.go
+++ b/amaranthd/entry/metrics.go
@@ -26,6 +26,8 @@
 		"amaranth_entry_packets_unsent_total":    d.dataPath.sendErrors.Load,
 		"amaranth_entry_packets_forwarded_total": d.engine.Forwarded.Load,
 		"amaranth_entry_flows_placed_total":      d.engine.Placed.Load,
+		"amaranth_entry_answers_rejected_total":  d.engine.RejectedAnswers.Load,
+		"amaranth_entry_upstreams_slow":          func() int64 { return int64(d.engine.SlowUpstreams()) },
 		"amaranth_entry_flows":                   d.engine.Flows.Load,
 		"amaranth_entry_source_calls_total":      d.replicator.calls.Load,
 		"amaranth_entry_source_failures_total":   d.replicator.failures.Load,
--- a/amaranthd/entry/peers.go
+++ b/amaranthd/entry/peers.go
@@ -146,16 +146,20 @@
 	p.delay.recordProbe(sentAt)
 }
 
-// receive decodes a message and applies its contents.
+// receive decodes a message or a report and applies its contents.
 func (p *peers) receive(data []byte) {
+	p.replicator.pauses.poll()
+	// The message may have waited in the socket, most of all during a pause.
+	waited := max(p.replicator.pauses.maxMessageDelay(), p.delay.estimate())
+	if gossip.IsReport(data) {
+		p.receiveReport(data, waited)
+		return
+	}
 	var msg gossip.Message
 	if err := cbor.Unmarshal(data, &msg); err != nil {
 		p.invalid.Add(1)
 		return
 	}
-	p.replicator.pauses.poll()
-	// The message may have waited in the socket, most of all during a pause.
-	waited := max(p.replicator.pauses.maxMessageDelay(), p.delay.estimate())
 	msg.Age += waited
 	msg.Reader.Age += waited
 	local := p.replicator.localCopy()
@@ -234,6 +238,7 @@
 		p.engine.SetVMs(vms)
 	}
 	p.engine.SetPeerLoads(loadsFromGossip(others))
+	p.exchangeSamples(now)
 	p.logMembership(ctx, alive)
 	p.applyPartitions(ctx, now, partitioned)
 	p.updateReadiness(now)
@@ -305,11 +310,15 @@
 			p.invalid.Add(1)
 			continue
 		}
-		p.bytesOut.Add(int64(len(data)))
-		_, _ = p.conn.WriteToUDPAddrPort(data, out[i].To) // UDP is best effort; an unreachable VM times out in the group.
+		p.sendDatagram(data, out[i].To)
 	}
 }
 
+func (p *peers) sendDatagram(data []byte, to netip.AddrPort) {
+	p.bytesOut.Add(int64(len(data)))
+	_, _ = p.conn.WriteToUDPAddrPort(data, to) // UDP is best effort; an unreachable VM times out in the group.
+}
+
 func loadsToGossip(sums map[catalog.Token]forward.Load) []gossip.Load {
 	loads := make([]gossip.Load, 0, len(sums))
 	for t, s := range sums {
--- a/fleet/gossip/group.go
+++ b/fleet/gossip/group.go
@@ -63,6 +63,8 @@
 	publisherUnreachable bool
 	replica              ReplicaState
 	loads                []Load
+	report               Report // the newest one, received at reportedAt
+	reportedAt           clock.Millis
 }
 
 // Group holds one VM's view of the others. It is not safe for concurrent use.
--- a/fleet/gossip/message.go
+++ b/fleet/gossip/message.go
@@ -28,7 +28,8 @@
 	Expected, InFlight int32
 }
 
-// Message is the gossip message between VMs.
+// Message is the gossip message between VMs. It is encoded as an array, which VMs with
+// another number of fields cannot read. What later versions add goes into Report.
 type Message struct {
 	_    struct{} `cbor:",toarray"`
 	From Peer
