--- a/fleet/forward/load.go
+++ b/fleet/forward/load.go
@@ -22,7 +22,7 @@
 	InFlight int32
 }
 
-// upstreamLoad is the load and health of one upstream, as observed by this VM
+// upstreamLoad is the load, health and quality of one upstream, as observed by this VM
 // and reported by others.
 type upstreamLoad struct {
 	expected     atomic.Int32
@@ -36,6 +36,7 @@
 	rejectedAt atomic.Int64
 	peers      atomic.Pointer[Load]
 	health     health
+	quality    upstreamQuality
 
 	mu   sync.Mutex
 	cold warmup.Limiter
--- a/standin/emulator/caller.go
+++ b/standin/emulator/caller.go
@@ -55,6 +55,8 @@
 	// Issued counts the requests made. Each ends as OnTime, as Late, that is answered
 	// after the latency target, or as Failed.
 	Issued, OnTime, Late, Failed int
+	// Latencies holds the latency of each answered request.
+	Latencies []clock.Millis
 
 	byPort map[netip.AddrPort]*Flow
 }
@@ -250,19 +252,19 @@
 	}
 	f.answered = true
 	f.seq += requestBytes
-	if served {
-		f.ack += responseBytes
-	} else {
-		f.ack += rejectionBytes
-	}
-	f.sendPacket(0)
 	c := f.caller
 	if !served {
+		f.ack += rejectionBytes
+		f.sendPacket(0)
 		f.close()
 		c.retry()
 		return
 	}
-	if took := c.sim.Now - c.current.started; took <= c.load.LatencyTarget {
+	f.ack += responseBytes
+	f.sendPacket(0)
+	took := c.sim.Now - c.current.started
+	c.load.Latencies = append(c.load.Latencies, took)
+	if took <= c.load.LatencyTarget {
 		c.load.OnTime++
 	} else {
 		c.load.Late++
