Hold back in proportion to the rejections, and go by own rejections

Cause: with a fixed factor admission needed 5 s to react and then overshot; rejections below 1.5 times the mean cost nothing, so that flows went on to upstreams that had just rejected; flows that ended after a rejection made a route of long flows look short; probes of priority 0 made the VM hold back the requests that matter; answers that became shorter for good counted as rejections.

Change: the admitted share shrinks in proportion to the rejections above the limit, every 100 ms; copies of openings are always placed; the highest priority is one with 5 % of the answers; a VM avoids upstreams by the rejections that it saw itself.

--- a/fleet/admission/controller.go
+++ b/fleet/admission/controller.go
@@ -8,12 +8,8 @@
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
 )
 
-const (
-	// adjustInterval is the interval at which admitted shares change.
-	adjustInterval clock.Millis = 250
-	// firstRetransmit is the time after which callers repeat an opening packet.
-	firstRetransmit clock.Millis = 200
-)
+// adjustInterval is the interval at which admitted shares change.
+const adjustInterval clock.Millis = 100
 
 // Controller admits requests to open flows to one service. It keeps no state per flow
 // and is safe for concurrent use.
@@ -22,6 +18,7 @@
 
 	mu         sync.Mutex
 	pressure   pressure
+	demand     demand
 	adjustedAt clock.Millis
 	classes    []*class // from the highest to the lowest
 }
@@ -35,33 +32,36 @@
 	return c
 }
 
-// Record counts an answer of an upstream of the service.
-func (c *Controller) Record(now clock.Millis, rejected bool) {
+// Record counts an answer of an upstream of the service to a request of the given
+// priority.
+func (c *Controller) Record(now clock.Millis, p catalog.Priority, rejected bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.pressure.record(now, rejected)
+	c.demand.record(now, p)
 }
 
-// Decide decides on a request to open a flow. Copies of one packet get the same verdict
-// while the admitted share is the same, except that a copy is never rejected: another
-// VM may have opened the flow since. A request is rejected only while the pressure is
-// above the limit, and waits if a copy of it can still be served on time.
+// Decide decides on a request to open a flow. A copy of an opening packet is placed:
+// another VM may have opened the flow, so that it must not be reset, and the caller has
+// waited already. Other requests that are not admitted wait for their copy while the
+// shares rise, and are rejected while they fall.
 func (c *Controller) Decide(now clock.Millis, r Request) Verdict {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	k := c.class(r.Priority, r.Long)
 	k.openedAt = now
 	switch {
-	case k.admits(r.Flow):
+	case r.Retransmits > 0 || k.admits(r.Flow):
 		return Place
-	case r.Retransmits > 0, r.LatencyTarget-firstRetransmit > r.Typical:
-		return Wait
-	case c.pressure.share(now) <= c.options.limit:
-		return Wait // the share rises, and upstreams may have room already
+	case c.rises(now):
+		return Wait // upstreams may have room already
 	}
 	return Reject
 }
 
+// rises reports whether the admitted shares are rising. The caller must hold c.mu.
+func (c *Controller) rises(now clock.Millis) bool { return c.pressure.share(now) <= c.options.limit }
+
 // class returns the class of a priority and kind of flow, creating it if needed. The
 // caller must hold c.mu.
 func (c *Controller) class(p catalog.Priority, long bool) *class {
@@ -73,7 +73,7 @@
 	return c.classes[i]
 }
 
-// Tick adjusts the admitted shares every 250 ms. It is to be called more often.
+// Tick adjusts the admitted shares every 100 ms. It is to be called more often.
 func (c *Controller) Tick(now clock.Millis) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -83,37 +83,38 @@
 	c.adjustedAt = now
 	c.classes = slices.DeleteFunc(c.classes, func(k *class) bool { return !k.inUse(now) && k.share >= 1 })
 	top := c.highest(now)
-	if c.pressure.share(now) > c.options.limit {
-		c.decrease(now, top)
+	excess := c.pressure.share(now) - c.options.limit
+	if excess > 0 {
+		c.decrease(now, top, 1-c.options.gain*excess)
 		return
 	}
-	c.increase(now, top)
+	c.increase(now, top, -excess/c.options.limit)
 }
 
-// highest returns the index of the first class that follows the highest priority in
-// use. The classes before it are not held back.
+// highest returns the index of the first class that follows the highest priority with
+// a considerable part of the answers. The classes before it are not held back.
 func (c *Controller) highest(now clock.Millis) int {
-	first := slices.IndexFunc(c.classes, func(k *class) bool { return k.inUse(now) })
-	if first < 0 {
+	priority, known := c.demand.highest(now)
+	if !known {
 		return len(c.classes)
 	}
-	n := first
-	for n < len(c.classes) && c.classes[n].priority == c.classes[first].priority {
-		n++
+	after := slices.IndexFunc(c.classes, func(k *class) bool { return k.priority > priority })
+	if after < 0 {
+		return len(c.classes)
 	}
-	return n
+	return after
 }
 
 // decrease lowers the share of the lowest class that is in use and above the floor.
 // Those of the highest priority in use rise even now, if they are below 1 because a
 // higher priority was in use before.
-func (c *Controller) decrease(now clock.Millis, top int) {
+func (c *Controller) decrease(now clock.Millis, top int, factor float64) {
 	for _, k := range c.classes[:top] {
 		k.raise(c.options.step)
 	}
 	for _, k := range slices.Backward(c.classes[top:]) {
 		if k.inUse(now) && k.share > c.options.floor {
-			k.share = max(c.options.floor, k.share*c.options.factor)
+			k.share = max(c.options.floor, k.share*factor)
 			return
 		}
 	}
@@ -122,7 +123,7 @@
 // increase raises the share of the highest class in use that is held back, and of all
 // classes that are not in use. Small steps spread the callers that return when the
 // pressure ends.
-func (c *Controller) increase(now clock.Millis, top int) {
+func (c *Controller) increase(now clock.Millis, top int, slack float64) {
 	raised := false
 	for i, k := range c.classes {
 		held := i >= top && k.inUse(now) && k.share < 1
@@ -130,7 +131,7 @@
 			continue
 		}
 		raised = raised || held
-		k.raise(c.options.step)
+		k.raise(c.options.step * slack)
 	}
 }
 
--- a/fleet/admission/request.go
+++ b/fleet/admission/request.go
@@ -1,9 +1,6 @@
 package admission
 
-import (
-	"github.com/amaranthswitch/amaranthswitch/fleet/catalog"
-	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
-)
+import "github.com/amaranthswitch/amaranthswitch/fleet/catalog"
 
 // Request is a packet that asks to open a flow.
 type Request struct {
@@ -14,9 +11,6 @@
 	Flow uint64
 	// Retransmits is the number of times that the packet was sent before.
 	Retransmits int
-	// LatencyTarget is the time in which an answer is on time, and Typical the recent
-	// time of answers on the route, both in milliseconds. They are 0 if unknown.
-	LatencyTarget, Typical clock.Millis
 }
 
 // Verdict is the decision on a Request.
--- a/fleet/forward/admission.go
+++ b/fleet/forward/admission.go
@@ -17,7 +17,7 @@
 	admissionReportInterval = 1 * clock.Second
 	// roomQuiet is the time since the latest rejection seen from an upstream after
 	// which the upstream may have room.
-	roomQuiet clock.Millis = 500
+	roomQuiet clock.Millis = 200
 )
 
 // AdmissionChange is a change of the share of new flows that is admitted.
@@ -92,8 +92,9 @@
 	if rejected {
 		f.target.load.rejectedAt.Store(int64(now))
 	}
-	if a := e.view.Load().admission[f.target.entry.Service]; a != nil && a.controller != nil {
-		a.controller.Record(now, rejected)
+	a := e.view.Load().admission[f.target.entry.Service]
+	if priority, known := f.route.priority(); known && a != nil && a.controller != nil {
+		a.controller.Record(now, priority, rejected)
 	}
 }
 
@@ -107,12 +108,12 @@
 		return NoReason
 	}
 	stat := e.routes.get(p.Destination)
+	stat.setPriority(route.Priority)
 	long := !stat.short()
 	verdict := a.controller.Decide(now, admission.Request{
 		Priority: route.Priority, Long: long, Retransmits: p.Retransmits,
 		// A caller that opens another flow from the same port is judged anew.
-		Flow:          hash ^ uint64(p.Seq)*0x9e3779b97f4a7c15,
-		LatencyTarget: route.LatencyTarget, Typical: stat.quality.RecentTime(),
+		Flow: hash ^ uint64(p.Seq)*0x9e3779b97f4a7c15,
 	})
 	switch {
 	case verdict == admission.Place || e.hasRoom(now, v.serving[service], hash, long):
--- a/fleet/forward/answer.go
+++ b/fleet/forward/answer.go
@@ -8,6 +8,7 @@
 	took := now - f.sentAt
 	e.hooks.Answered(took)
 	answer := f.route.quality.Record(now, took, bytes)
+	f.rejected = f.rejected || answer.Rejected
 	if answer.Rejected {
 		e.RejectedAnswers.Add(1)
 	}
--- a/fleet/forward/flows.go
+++ b/fleet/forward/flows.go
@@ -63,6 +63,7 @@
 	established   bool   // this VM saw a packet after the opening one
 	awaiting      bool   // a request was sent and is not answered yet
 	counted       bool   // the flow is included in the expected load
+	rejected      bool   // the upstream rejected a request
 	closed        bool
 }
 
@@ -163,7 +164,7 @@
 	}
 	f.removeLoad()
 	f.closed = true
-	if f.responses <= 1 {
+	if f.responses <= 1 && !f.rejected {
 		f.route.recordShort()
 	}
 }
--- a/fleet/forward/routes.go
+++ b/fleet/forward/routes.go
@@ -5,6 +5,7 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/amaranthswitch/amaranthswitch/fleet/catalog"
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
 	"github.com/amaranthswitch/amaranthswitch/fleet/quality"
 )
@@ -39,6 +40,18 @@
 	open, inFlight atomic.Int32
 	expected       atomic.Int32
 	quality        quality.Route
+	// priorityPlusOne is 0 until the priority of the route is known.
+	priorityPlusOne atomic.Int64
+}
+
+// setPriority sets the priority of the route as published.
+func (r *routeStat) setPriority(p catalog.Priority) { r.priorityPlusOne.Store(int64(p) + 1) }
+
+// priority returns the priority of the route. known is false before an opening packet
+// of the route was handled.
+func (r *routeStat) priority() (p catalog.Priority, known bool) {
+	n := r.priorityPlusOne.Load()
+	return catalog.Priority(n - 1), n > 0
 }
 
 // recordLong counts a flow that sends its second request.
--- a/fleet/forward/upstreamquality.go
+++ b/fleet/forward/upstreamquality.go
@@ -9,12 +9,16 @@
 )
 
 const (
-	// rejectionPenalty is the cost of an upstream that rejects every request while the
-	// others reject none, in requests in flight per slot.
-	rejectionPenalty = 4
+	// rejectionPenalty is the cost of an upstream that rejected all recent requests of
+	// this VM, in requests in flight per slot. Only the VM's own answers count, so that
+	// VMs do not all turn to the same upstream.
+	rejectionPenalty = 1
+	// excessPenalty is the cost of an upstream that rejects every request of all VMs while
+	// the others reject none. One that fails fast has no load of its own that would
+	// keep flows away.
+	excessPenalty = 4
 	// usualRejections is the share of rejections, relative to the mean share in the
-	// service, up to which they cost nothing. Under overload all upstreams reject
-	// requests, and VMs that prefer the one that rejected the fewest would crowd there.
+	// service, above which excessPenalty applies.
 	usualRejections = 1.5
 	// slownessOffset is added to the load that slowness multiplies, so that a slow
 	// upstream without load costs more than a fast one without load.
@@ -34,11 +38,12 @@
 	ticks atomic.Int32
 	// active is set while there may be samples.
 	active atomic.Bool
-	// merged is the sum of all samples as of the last Tick, which alone uses it.
-	merged quality.Sample
-	// excess is the slowness less 1, and rejected the share of rejections above the usual
-	// one, as the bits of a float32. Tick updates them, so that cost needs no
-	// exponentials.
+	// merged is the sum of all samples and ownRejected the share of rejections that this
+	// VM saw, as of the last Tick, which alone uses them.
+	merged      quality.Sample
+	ownRejected float64
+	// excess is the slowness less 1, and rejected the cost of the rejections, as the bits
+	// of a float32. Tick updates them, so that cost needs no exponentials.
 	excess, rejected atomic.Uint32
 	// minLoad is the load per slot that the upstream counts as having, nil if it does not
 	// reject more than others. One that rejects at once has no load of its own.
@@ -73,6 +78,7 @@
 		return false
 	}
 	q.merged = q.own.Sample(now)
+	q.ownRejected = q.merged.RejectedShare()
 	if o := q.peers.Load(); o != nil {
 		q.merged = q.merged.Add(*o)
 	}
@@ -90,13 +96,19 @@
 		slowness = q.merged.Slowness()
 	}
 	q.excess.Store(math.Float32bits(float32(slowness - 1)))
-	rejected := max(0, q.merged.RejectedShare()-usualRejections*s.rejectedShare)
-	q.rejected.Store(math.Float32bits(float32(rejected)))
-	if rejected > 0 {
-		q.minLoad.Store(s.load)
-	} else {
+	q.rejected.Store(math.Float32bits(float32(q.weighRejections(s))))
+}
+
+// weighRejections returns the cost of the rejections.
+func (q *upstreamQuality) weighRejections(s *serviceQuality) float64 {
+	cost := rejectionPenalty * q.ownRejected
+	excess := q.merged.RejectedShare() - usualRejections*s.rejectedShare
+	if excess <= 0 {
 		q.minLoad.Store(nil)
+		return cost
 	}
+	q.minLoad.Store(s.load)
+	return cost + excessPenalty*excess
 }
 
 // slowness returns the time of answers relative to other upstreams.
@@ -120,5 +132,5 @@
 	if excess == 0 && rejected == 0 {
 		return load
 	}
-	return load + (load+slownessOffset)*float64(math.Float32frombits(excess)) + rejectionPenalty*float64(math.Float32frombits(rejected))
+	return load + (load+slownessOffset)*float64(math.Float32frombits(excess)) + float64(math.Float32frombits(rejected))
 }
--- a/fleet/quality/route.go
+++ b/fleet/quality/route.go
@@ -13,6 +13,9 @@
 	rejectionSizeRatio = 1.0 / 3
 	// sizeSmoothing is the weight of the newest answer in the usual size.
 	sizeSmoothing = 0.02
+	// sizeTimeout is the time without an answer of the usual size after which shorter ones
+	// become the usual ones, as after a new release of the service.
+	sizeTimeout = 30 * clock.Second
 	// routeHalfLife is the half-life of the samples in the recent time of answers.
 	routeHalfLife = 1 * clock.Second
 )
@@ -23,6 +26,7 @@
 	mu sync.Mutex
 	// logSize is the logarithm of the usual size in bytes, 0 before the first answer.
 	logSize float64
+	usualAt clock.Millis // when the last answer that was no rejection came
 	// time is the mean of the logarithm of the time of answers in milliseconds.
 	time decayingMean
 }
@@ -42,12 +46,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	logSize := math.Log(float64(max(1, bytes)))
-	if r.logSize == 0 {
+	if r.logSize == 0 || now-r.usualAt > sizeTimeout {
 		r.logSize = logSize
 	}
 	if logSize < r.logSize+math.Log(rejectionSizeRatio) {
 		return Answer{Rejected: true}
 	}
+	r.usualAt = now
 	r.logSize += sizeSmoothing * (logSize - r.logSize)
 	logTime := math.Log(float64(max(1, took)))
 	r.time.add(now, logTime, routeHalfLife)
--- a/fleet/quality/sample.go
+++ b/fleet/quality/sample.go
@@ -52,13 +52,13 @@
 }
 
 // Slowness returns the geometric mean of the time of answers relative to the recent time
-// of their routes, rounded down to a power of slownessStep. It is 1 for an upstream that
-// is faster than others, since VMs that cannot see each other's load would crowd there.
-func (s Sample) Slowness() float64 { return stepped(s.meanLog()) }
+// of their routes. It is never below 1, since VMs that cannot see each other's load would
+// crowd on the upstream that happens to be the fastest.
+func (s Sample) Slowness() float64 { return math.Exp(min(maxLogSlowness, max(0, s.meanLog()))) }
 
-// SignificantSlowness is like Slowness, but first shrinks the mean towards 1 by the
-// deviation that chance causes, as in a James-Stein estimate. It falls to 1 steadily as
-// the answers decay.
+// SignificantSlowness is like Slowness, but shrinks the mean towards 1 by the deviation
+// that chance causes, as in a James-Stein estimate, and rounds it down to a power of
+// slownessStep. It falls to 1 steadily as the answers decay.
 func (s Sample) SignificantSlowness() float64 {
 	mean := s.meanLog()
 	variance := answerDeviation * answerDeviation / (s.accepted() / sampleUnit)
