Order revisions by the era of the publisher

Cause: a publisher that comes back from an older copy of its items gives out revisions again, so a copy took its newer items for old ones. A full update of a newer era replaces everything; an update for a copy of another era is a full one. An item of which only the revision differs is stored but is no change, unless Created differs, which decides on tokens. Created has no era.

--- a/fleet/replica/doc.go
+++ b/fleet/replica/doc.go
@@ -5,4 +5,8 @@
 // it has received, so updates from the publisher and from other VMs may be
 // merged in any order, and an item never goes back to an older revision. A
 // removed item leaves a tombstone with its last value.
+//
+// A publisher that comes back from an older copy of its items begins a new Era, in which
+// it gives out revisions again. Its first full update in that era replaces everything
+// known of earlier ones.
 package replica
--- a/fleet/replica/replica.go
+++ b/fleet/replica/replica.go
@@ -1,15 +1,13 @@
 package replica
 
 import (
+	"bytes"
 	"slices"
 	"strings"
 
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
 )
 
-// Revision numbers the changes of the published items, starting above 0.
-type Revision uint64
-
 // Key is the key of an item.
 type Key string
 
@@ -21,8 +19,8 @@
 	// Revision is the revision of the last change, or of the removal for a
 	// tombstone.
 	Revision Revision
-	// Created is the revision of the first change since the key was last
-	// absent.
+	// Created is the publisher's number of the first change since the key was last
+	// absent. It holds no era, so that it does not change with the era.
 	Created Revision
 	// Removed is set for a tombstone. Its Value is the last known one, if any.
 	Removed bool
@@ -83,7 +81,7 @@
 			r.horizon = max(r.horizon, u.Complete)
 		}
 	}
-	if u.Full || u.After <= r.complete {
+	if u.Full || u.After <= r.complete && u.After.Era() == u.Complete.Era() {
 		r.complete = max(r.complete, u.Complete)
 	}
 	slices.SortFunc(changed, func(a, b Item) int {
@@ -113,8 +111,9 @@
 }
 
 // merge stores item if it is newer than the stored item of its key, and reports
-// whether that is a change. The removal of an unknown item is a change only if
-// it carries the last value.
+// whether that is a change. An item that differs only in its revision is stored but is
+// no change. The removal of an unknown item is a change only if it carries the last
+// value.
 func (r *Replica) merge(now clock.Millis, item Item) (merged Item, changed bool) {
 	old, known := r.entries[item.Key]
 	if known && old.item.Revision >= item.Revision {
@@ -123,6 +122,10 @@
 	if item.Removed && len(item.Value) == 0 {
 		item.Value, item.Created = old.item.Value, old.item.Created
 	}
+	if known && !old.item.Removed && !item.Removed && old.item.Created == item.Created && bytes.Equal(old.item.Value, item.Value) {
+		r.entries[item.Key] = entry{item: item, learnedAt: old.learnedAt}
+		return item, false
+	}
 	r.entries[item.Key] = entry{item: item, learnedAt: now - item.Age}
 	return item, known || !item.Removed || len(item.Value) > 0
 }
@@ -147,9 +150,10 @@
 }
 
 // Since returns the changes after the given revision. The update is a full one
-// if the copy no longer has all tombstones since then.
+// if the copy no longer has all tombstones since then, or if the revision is of another
+// era: items that the publisher lost have none.
 func (r *Replica) Since(after Revision) (u Update) {
-	u = Update{After: after, Complete: r.complete, Full: after < r.horizon}
+	u = Update{After: after, Complete: r.complete, Full: after < r.horizon || after.Era() != r.complete.Era()}
 	for _, e := range r.entries {
 		if e.item.Revision > after || u.Full && !e.item.Removed {
 			u.Items = append(u.Items, e.item)
--- a/fleet/replica/replica_test.go
+++ b/fleet/replica/replica_test.go
@@ -41,6 +41,9 @@
 		{"present in an older copy", []Update{{Full: true, Complete: 6}, {Complete: 5, Items: []Item{put(3, "a", "x")}}}, map[Key]string{}, 6},
 		{"missed by a watch", []Update{{Full: true, Complete: 6}, {Full: true, Complete: 6, Items: []Item{put(3, "a", "x")}}}, map[Key]string{"a": "x"}, 6},
 		{"newer than this copy in an older one", []Update{{Full: true, Complete: 6}, {Complete: 5, Items: []Item{put(7, "a", "x")}}}, map[Key]string{"a": "x"}, 6},
+		{"a new era replaces all", []Update{{Full: true, Complete: 9, Items: []Item{put(9, "a", "new"), put(8, "b", "y")}}, {Full: true, Complete: RevisionOf(1, 5), Items: []Item{put(RevisionOf(1, 3), "a", "old")}}}, map[Key]string{"a": "old"}, RevisionOf(1, 5)},
+		{"late answer of an earlier era", []Update{{Full: true, Complete: RevisionOf(1, 5), Items: []Item{put(RevisionOf(1, 3), "a", "x")}}, {Full: true, Complete: 9, Items: []Item{put(9, "a", "late"), put(8, "b", "y")}}, {After: 9, Complete: 11, Items: []Item{put(11, "a", "late")}}}, map[Key]string{"a": "x"}, RevisionOf(1, 5)},
+		{"changes of another era do not complete", []Update{{Full: true, Complete: 9, Items: []Item{put(9, "a", "x")}}, {After: 9, Complete: RevisionOf(1, 12)}}, map[Key]string{"a": "x"}, 9},
 		{"gap leaves the copy incomplete", []Update{{Complete: 3, Items: []Item{put(3, "a", "x")}}, {After: 7, Complete: 9, Items: []Item{put(9, "b", "y")}}}, map[Key]string{"a": "x", "b": "y"}, 3},
 	}
 	for _, test := range tests {
@@ -55,6 +58,18 @@
 	}
 }
 
+// TestOnlyTheRevisionChanged guards against a slow start that begins again, and a new
+// catalog, for each item that came back unchanged with a new era.
+func TestOnlyTheRevisionChanged(t *testing.T) {
+	r := New()
+	r.Apply(0, Update{Full: true, Complete: 9, Items: []Item{put(7, "a", "x"), put(8, "b", "y")}})
+	back := []Item{{Key: "a", Value: []byte("x"), Revision: RevisionOf(1, 7), Created: 7}, {Key: "b", Value: []byte("y"), Revision: RevisionOf(1, 7), Created: 7}}
+	changed := r.Apply(5, Update{Full: true, Complete: RevisionOf(1, 7), Items: back})
+	assert.Equal(t, len(changed), 1, "b was created at another number, which decides on its token")
+	assert.Equal(t, r.Since(RevisionOf(1, 6)).Items[0].Revision, RevisionOf(1, 7))
+	assert.Equal(t, fmt.Sprint(Revision(12), RevisionOf(2, 12)), "12 2.12")
+}
+
 // TestRecentRemovals passes a tombstone from copy to copy. Its age must go on.
 func TestRecentRemovals(t *testing.T) {
 	a, b := New(), New()
