Keep what is known to be later when the publisher goes back

Cause: after the publisher came back from an older copy, a removed or draining upstream, a failure domain or an older configuration would take effect again. Tombstones keep the last value that was in force. Result: go test ./fleet/catalog.

--- a/fleet/catalog/builder.go
+++ b/fleet/catalog/builder.go
@@ -24,6 +24,13 @@
 	domainsOut map[replica.Key]ident.DomainName
 	restoredAt map[ident.DomainName]clock.Millis
 	config     *Config
+
+	// staleTime is how long an entry that may be stale stays without effect.
+	staleTime clock.Millis
+	// known holds the items in force, and kept those of them that replace what is
+	// published.
+	known map[replica.Key]knownItem
+	kept  map[replica.Key]keptItem
 }
 
 // NewBuilder returns a builder without items. Items that decode cannot read are
@@ -37,6 +44,9 @@
 		upstreams:        make(map[replica.Key]*Entry),
 		domainsOut:       make(map[replica.Key]ident.DomainName),
 		restoredAt:       make(map[ident.DomainName]clock.Millis),
+		staleTime:        defaultStaleTime,
+		known:            make(map[replica.Key]knownItem),
+		kept:             make(map[replica.Key]keptItem),
 	}
 }
 
@@ -49,10 +59,18 @@
 // unable to renew its registration, so it accepts new flows for renewalGrace,
 // unless it was draining. One that was never published here does not.
 func (b *Builder) Apply(now clock.Millis, items []replica.Item, publisherWasAway bool) {
+	first := len(b.known) == 0
 	for i := range items {
 		e := b.upstreams[items[i].Key]
+		_, known := b.known[items[i].Key]
 		published := e != nil && !e.Removed
+		if !b.endKept(items[i]) {
+			continue
+		}
 		b.apply(now, items[i])
+		if known || !first && !items[i].Removed {
+			b.settle(items[i].Key)
+		}
 		if publisherWasAway && items[i].Removed && published {
 			e.GraceUntil = now + renewalGrace
 		}
@@ -60,6 +78,10 @@
 }
 
 func (b *Builder) apply(now clock.Millis, item replica.Item) {
+	if old := b.known[item.Key].item; item.Removed && old.Key != "" {
+		item.Value = old.Value // that of the publisher may be stale
+	}
+	b.known[item.Key] = knownItem{item: item, at: now - item.Age}
 	if item.Removed {
 		b.remove(now, item)
 		return
@@ -91,7 +113,11 @@
 
 func (b *Builder) setUpstream(now clock.Millis, item replica.Item, u Upstream) {
 	e := &Entry{Upstream: u, Created: item.Created}
-	if u.RemainingColdMillis > 0 {
+	old := b.upstreams[item.Key]
+	switch {
+	case old != nil && !old.Removed && old.Upstream == u:
+		e.ColdUntil = old.ColdUntil
+	case u.RemainingColdMillis > 0:
 		e.ColdUntil = now + u.RemainingColdMillis
 	}
 	b.upstreams[item.Key] = e
@@ -135,6 +161,11 @@
 			delete(b.upstreams, key)
 		}
 	}
+	for key, k := range b.known {
+		if _, kept := b.kept[key]; !kept && k.item.Removed && now-k.at > removedTTL {
+			delete(b.known, key)
+		}
+	}
 }
 
 // removedTTL is how long open flows to a removed upstream are forwarded.
--- a/fleet/catalog/catalog.go
+++ b/fleet/catalog/catalog.go
@@ -33,6 +33,9 @@
 	// DomainOut is set while the failure domain of the upstream is out of
 	// service.
 	DomainOut bool
+	// missing is set if the upstream was removed because the publisher came back from
+	// an older copy without it. It then need not have left.
+	missing bool
 }
 
 // AcceptsNewFlows reports whether new flows may go to the upstream at now,
--- a/fleet/catalog/catalog_test.go
+++ b/fleet/catalog/catalog_test.go
@@ -38,6 +38,7 @@
 			u.Draining = u.Draining || w == "draining"
 			_, _ = fmt.Sscanf(w, "cold=%d", &u.RemainingColdMillis)
 			_, _ = fmt.Sscanf(w, "born=%d", &u.StartedAt)
+			_, _ = fmt.Sscanf(w, "seq=%d", &u.Sequence)
 		}
 		c.Upstream = u
 	}
--- a/fleet/catalog/types.go
+++ b/fleet/catalog/types.go
@@ -32,6 +32,8 @@
 	// StartedAt is the start time of the upstream by its own clock, 0 if
 	// unknown.
 	StartedAt clock.Millis
+	// Sequence rises with each entry that the upstream publishes after a start.
+	Sequence uint64
 }
 
 // Route maps an address to one service or, by weight, to several.
--- a/fleet/event/event.go
+++ b/fleet/event/event.go
@@ -71,6 +71,10 @@
 	// EvidenceDistrusted is logged when a VM begins to distrust its evidence against
 	// upstreams.
 	EvidenceDistrusted ID = 6012
+	// StoreEraChanged is logged when the store came back from an older copy, and
+	// StoreEraInvalid when a response does not tell the era of the store.
+	StoreEraChanged ID = 6014
+	StoreEraInvalid ID = 6015
 )
 
 // Events of requests.
@@ -102,6 +106,8 @@
 	RequestForwarded:   "requestForwarded",
 	RequestStopped:     "requestStopped",
 	EvidenceDistrusted: "evidenceDistrusted",
+	StoreEraChanged:    "storeEraChanged",
+	StoreEraInvalid:    "storeEraInvalid",
 	LinesOmitted:       "linesOmitted",
 	ConfigAccepted:     "configAccepted",
 	ConfigInvalid:      "configInvalid",
@@ -134,6 +140,8 @@
 	LinesOmitted:       slog.LevelWarn,
 	RequestStopped:     slog.LevelWarn,
 	EvidenceDistrusted: slog.LevelWarn,
+	StoreEraChanged:    slog.LevelWarn,
+	StoreEraInvalid:    slog.LevelWarn,
 	ItemInvalid:        slog.LevelError,
 	FlowRefused:        slog.LevelWarn,
 	FlowLost:           slog.LevelWarn,
