Detect that the store came back from an older copy

Cause: nothing read the header Store-Era, so watches went on after revisions that the store gave out again, and VMs took lost writes for removals. Change: platform reads the era of each response. A watch or page of another era is entry.ErrCompacted, a late response an error with the usual delay; a missing or unreadable header counts as the last era known (event 6015). VMs log a new era (6014), fetch its first update by a call together with what the sender keeps, and show it as amaranth_entry_store_era. The stand-in store sends the header, goes back to earlier copies, and has a writer that writes everything again.

--- a/amaranthd/entry/decisions.go
+++ b/amaranthd/entry/decisions.go
@@ -67,7 +67,7 @@
 	}
 	local := l.localCopy()
 	attrs := append(flowAttrs(p), slog.String("request", request), slog.String("reason", d.Reason.String()),
-		slog.Uint64("revision", uint64(local.Complete)))
+		slog.Attr{Key: "revision", Value: local.Complete.LogValue()})
 	if local.ConfirmedAt != 0 {
 		attrs = append(attrs, slog.Int64("ageMillis", int64(l.clk.Now()-local.ConfirmedAt)))
 	}
--- a/amaranthd/entry/metrics.go
+++ b/amaranthd/entry/metrics.go
@@ -37,7 +37,8 @@
 		"amaranth_entry_suspicions_heard_total":  d.peers.suspicionsReceived.Load,
 		"amaranth_entry_late_ticks_total":        d.engine.LateTicks.Load,
 		"amaranth_entry_call_bytes_out_total":    func() int64 { return d.pool.BytesOut.Load() + d.server.BytesOut.Load() },
-		"amaranth_entry_revision":                func() int64 { return int64(d.replicator.localCopy().Complete) },
+		"amaranth_entry_revision":                func() int64 { return int64(d.replicator.localCopy().Complete.Number()) },
+		"amaranth_entry_store_era":               func() int64 { return int64(d.replicator.localCopy().Complete.Era()) },
 		"amaranth_entry_log_lines_dropped_total": d.linesDropped,
 	}
 	for name, read := range counts {
--- a/amaranthd/entry/peers.go
+++ b/amaranthd/entry/peers.go
@@ -250,9 +250,10 @@
 }
 
 // sendUpdate announces an update to other VMs, and includes it in the messages if
-// it is small.
+// it is small and begins no era. Those that an era begins with are fetched, together with
+// what this VM keeps in force.
 func (p *peers) sendUpdate(u *replica.Update) {
-	if approxBytes(u) > maxInlineUpdateBytes {
+	if approxBytes(u) > maxInlineUpdateBytes || u.After.Era() != u.Complete.Era() {
 		u = nil
 	}
 	local := p.replicator.localCopy()
--- a/amaranthd/entry/replicator.go
+++ b/amaranthd/entry/replicator.go
@@ -111,12 +111,13 @@
 	}
 	r.rank.Store(1) // not the reader until the group has elected one
 	r.builder = catalog.NewBuilder(a.Decode, r.logInvalidItem, 2*heartbeat)
+	r.builder.SetHeartbeat(heartbeat)
 	return r
 }
 
 func (r *replicator) logInvalidItem(item replica.Item, err error) {
 	event.Log(context.Background(), r.log, event.ItemInvalid,
-		slog.String("key", string(item.Key)), slog.Uint64("revision", uint64(item.Revision)), event.Error(err))
+		slog.String("key", string(item.Key)), slog.Any("revision", item.Revision), event.Error(err))
 }
 
 // localCopy returns the revision of the copy and the time at which it was last
@@ -184,13 +185,16 @@
 }
 
 // apply merges an update and schedules a build of the catalog if any item changed.
-func (r *replicator) apply(u replica.Update, from string) {
+func (r *replicator) apply(u replica.Update, from string) { r.applyWithKept(u, nil, from) }
+
+// applyWithKept does so, and applies the items that the sender of the update keeps in
+// force since the source came back from an older copy.
+func (r *replicator) applyWithKept(u replica.Update, kept []catalog.Kept, from string) {
 	now := r.clk.Now()
 	r.mu.Lock()
 	before := r.replica.Complete()
-	changed := r.replica.Apply(now, u)
 	hadOutage := before > 0 && now-clock.Millis(r.confirmedAt.Load()) >= sourceOutageAge
-	r.builder.Apply(now, changed, hadOutage)
+	changed, keptTaken := r.builder.Merge(now, r.replica, u, kept, hadOutage)
 	complete := r.replica.Complete()
 	if complete >= r.newerRevision {
 		r.behindSince = 0
@@ -198,7 +202,7 @@
 	if len(changed) > 0 && r.pendingSince == 0 {
 		r.pendingSince = now
 	}
-	if len(changed) > 0 || before == 0 {
+	if len(changed) > 0 || before == 0 || keptTaken {
 		r.scheduleBuild()
 	}
 	// The items that changed now are not sufficient: the pages of a read are no
@@ -209,10 +213,14 @@
 		update = r.replica.Since(before)
 	}
 	r.mu.Unlock()
+	if before > 0 && complete.Era() > before.Era() {
+		event.Log(context.Background(), r.log, event.StoreEraChanged,
+			slog.Int("old", int(before.Era())), slog.Int("new", int(complete.Era())), slog.String("from", from))
+	}
 	for i := range changed {
 		event.Log(context.Background(), r.log, event.ItemChanged,
-			slog.String("key", string(changed[i].Key)), slog.Uint64("revision", uint64(changed[i].Revision)),
-			slog.Bool("removed", changed[i].Removed), slog.String("from", from), slog.Uint64("complete", uint64(complete)))
+			slog.String("key", string(changed[i].Key)), slog.Any("revision", changed[i].Revision),
+			slog.Bool("removed", changed[i].Removed), slog.String("from", from), slog.Any("complete", complete))
 	}
 	if complete > before {
 		r.onUpdate(&update)
@@ -267,7 +275,7 @@
 	r.pendingSince = 0
 	r.onActive(pending)
 	event.Log(context.Background(), r.log, event.CatalogTaken, slog.Uint64("version", uint64(c.Config.Version)),
-		slog.Uint64("revision", uint64(c.Revision)), slog.Int("routes", len(c.Config.Routes)),
+		slog.Any("revision", c.Revision), slog.Int("routes", len(c.Config.Routes)),
 		slog.Int("upstreams", c.UpstreamCount()), slog.Any("domainsOut", c.DomainsOut()),
 		slog.Int64("pendingMillis", int64(pending)), slog.Int64("buildMillis", r.buildTook.Milliseconds()))
 }
@@ -386,6 +394,9 @@
 	if err != nil {
 		return err
 	}
+	if err = r.checkEra(&u); err != nil {
+		return err
+	}
 	if periodic {
 		r.catchUp(bounded, u.Complete)
 	}
@@ -401,7 +412,7 @@
 // read holds all items that exist.
 func (r *replicator) catchUp(ctx context.Context, target replica.Revision) {
 	after := r.localCopy().Complete
-	if after >= target {
+	if after >= target || after.Era() != target.Era() {
 		return
 	}
 	bounded, cancel := context.WithTimeout(ctx, responseTimeout.Duration())
@@ -430,6 +441,9 @@
 		}
 		return err
 	}
+	if err = r.checkEra(&u); err != nil {
+		return err
+	}
 	r.apply(u, fromWatch)
 	if r.pauses.poll() == count {
 		validAt = r.clk.Now() // without a pause, the response did not wait in the socket
--- a/amaranthd/entry/statetransfer.go
+++ b/amaranthd/entry/statetransfer.go
@@ -48,6 +48,11 @@
 	// RemovalAges holds the ages in milliseconds of the tombstones that are at most
 	// maxRemovalAge old.
 	RemovalAges map[replica.Key]clock.Millis `json:"removalAges,omitempty"`
+	// Kept holds the items that the sender keeps in force since the source came back
+	// from an older copy, encoded as the items of Update, and KeptLeft the times in
+	// milliseconds for which it does so, without those that have no limit.
+	Kept     []byte                       `json:"kept,omitempty"`
+	KeptLeft map[replica.Key]clock.Millis `json:"keptLeft,omitempty"`
 }
 
 // pullRequest is a queued request for published items from another VM.
@@ -130,7 +135,12 @@
 		return false
 	}
 	setRemovalAges(&u, reply.RemovalAges)
-	t.replicator.apply(u, string(from.ID))
+	kept, err := reply.kept()
+	if err != nil {
+		event.Log(ctx, t.log, event.MessageInvalid, slog.String("peer", string(from.ID)), event.Error(err))
+		return false
+	}
+	t.replicator.applyWithKept(u, kept, string(from.ID))
 	return true
 }
 
@@ -159,7 +169,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return sinceReply{Update: data, RemovalAges: t.replicator.recentRemovals(maxRemovalAge)}, nil
+	reply := sinceReply{Update: data, RemovalAges: t.replicator.recentRemovals(maxRemovalAge)}
+	return reply, reply.setKept(t.replicator.keptItems())
 }
 
 // encodedChanges returns the encoded changes after a revision. It caches the last
--- a/amaranthd/entry/status.go
+++ b/amaranthd/entry/status.go
@@ -18,8 +18,11 @@
 	Domain ident.DomainName `json:"domain"`
 	Ready  bool             `json:"ready"`
 	// Version is the version of the configuration in force, 0 if there is none.
-	Version  ident.Version    `json:"version"`
-	Revision replica.Revision `json:"revision"`
+	Version ident.Version `json:"version"`
+	// Revision is the store's number of the last change, and StoreEra the number of
+	// times that the store came back from an older copy.
+	Revision uint64      `json:"revision"`
+	StoreEra replica.Era `json:"storeEra"`
 	// CopyAgeMillis is the time since the source confirmed the copy of the
 	// published items.
 	CopyAgeMillis clock.Millis `json:"copyAgeMillis"`
@@ -52,10 +55,12 @@
 // status returns the current state of this daemon.
 func (d *Daemon) status() Status {
 	s := Status{
-		VM: d.settings.VM, Domain: d.settings.Domain, Ready: d.ready(), Revision: d.replicator.localCopy().Complete,
+		VM: d.settings.VM, Domain: d.settings.Domain, Ready: d.ready(),
 		CopyAgeMillis: d.copyAge(), ReaderRank: int(d.replicator.rank.Load()), SourceDown: d.replicator.sourceUnreachable.Load(),
 		Peers: d.peers.status(), Leaving: d.leaving.Load(), Flows: d.engine.Flows.Load(),
 	}
+	complete := d.replicator.localCopy().Complete
+	s.Revision, s.StoreEra = complete.Number(), complete.Era()
 	if c := d.engine.Catalog(); c != nil {
 		s.Version, s.DomainsOut, s.Upstreams = c.Config.Version, c.DomainsOut(), c.UpstreamCount()
 	}
--- a/standin/store/server.go
+++ b/standin/store/server.go
@@ -56,6 +56,13 @@
 	faults       map[string]Fault // by reader's IP address, "" for all
 	calls        map[string]int
 	address      string
+
+	era     int
+	eraText string   // sent as the era if set; see SetEraHeader
+	changes []change // all changes of this copy
+	away    bool
+	// outage is held while the store is away. Writers wait for its end.
+	outage sync.RWMutex
 }
 
 // Start serves the store on address until stop is called.
@@ -93,6 +100,8 @@
 			panic("store: " + err.Error())
 		}
 	}
+	s.outage.RLock()
+	defer s.outage.RUnlock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.rev++
@@ -100,23 +109,30 @@
 	if old, ok := s.items[key]; ok {
 		item.Created = old.Created
 	}
-	s.items[key] = item
 	s.record(item)
 }
 
 // Remove removes an item, if it exists.
 func (s *Server) Remove(key string) {
+	s.outage.RLock()
+	defer s.outage.RUnlock()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, ok := s.items[key]; !ok {
 		return
 	}
 	s.rev++
-	delete(s.items, key)
 	s.record(Item{Key: key, Revision: s.rev, Removed: true})
 }
 
+// record makes a change. The caller holds mu.
 func (s *Server) record(item Item) {
+	s.noteChange(item.Key)
+	if item.Removed {
+		delete(s.items, item.Key)
+	} else {
+		s.items[item.Key] = item
+	}
 	s.history = append(s.history, item)
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -172,12 +188,16 @@
 		s.count(r)
 		t := s.faultFor(r)
 		switch {
+		case s.isAway():
+			panic(http.ErrAbortHandler)
 		case t.Hang:
 			sleep(r.Context(), hangDuration)
 			panic(http.ErrAbortHandler)
 		case t.Reset:
 			panic(http.ErrAbortHandler)
-		case t.Status != 0:
+		}
+		s.setEra(w)
+		if t.Status != 0 {
 			w.WriteHeader(t.Status)
 			return
 		}
@@ -212,6 +232,7 @@
 		items = append(items, s.items[key])
 	}
 	reply := map[string]any{"items": items, "hasMore": more, "currentRev": s.rev}
+	s.writeEra(w)
 	s.mu.Unlock()
 	writeJSON(w, reply)
 }
@@ -225,10 +246,16 @@
 		return
 	}
 	deadline := time.After(time.Duration(millis) * time.Millisecond)
+	begun := s.Era()
 	for {
 		stalled := s.faultFor(r).StallWatches
 		s.mu.Lock()
-		changed, compacted, rev := s.changed, after < s.compactedRev, s.rev
+		if s.away || s.era != begun { // the connection ended with the process that held it
+			s.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
+		s.writeEra(w)
+		changed, compacted, rev := s.changed, after < s.compactedRev || after > s.rev, s.rev
 		events := s.eventsAfter(q.Get("prefix"), after)
 		s.mu.Unlock()
 		if compacted && !stalled {
