Begin the time limits of a rollback anew with the next one

An item that is missing, or stale, after two rollbacks in a row is as before in the second one, hence no change, so that its time ran on from the first: an evacuation ended, and an upstream was closed, up to 3 s too early, partly while the store was away and nobody could write the entry again.

ApplyRollback restarts the times that still run, and an era that changes no item builds the catalog too, as that holds the ends.

--- a/amaranthd/entry/replicator.go
+++ b/amaranthd/entry/replicator.go
@@ -202,7 +202,7 @@
 	if len(changed) > 0 && r.pendingSince == 0 {
 		r.pendingSince = now
 	}
-	if len(changed) > 0 || before == 0 || keptTaken {
+	if len(changed) > 0 || complete.Era() != before.Era() || before == 0 || keptTaken {
 		r.scheduleBuild()
 	}
 	// The items that changed now are not sufficient: the pages of a read are no
--- a/fleet/catalog/rollback.go
+++ b/fleet/catalog/rollback.go
@@ -28,6 +28,7 @@
 // accept new flows for renewalGrace, unless they were draining. Items of the older copy
 // that are known to be outdated stay without effect.
 func (b *Builder) ApplyRollback(now clock.Millis, items []replica.Item) {
+	b.restartTimes(now)
 	for _, item := range items {
 		known := b.known[item.Key].item
 		delete(b.kept, item.Key)
@@ -51,6 +52,26 @@
 	}
 }
 
+// restartTimes begins the times anew that still run since an earlier rollback. Nobody
+// could write to the publisher while it was away, and an item that is as before is no change.
+func (b *Builder) restartTimes(now clock.Millis) {
+	for key, k := range b.kept {
+		if k.until == 0 {
+			continue
+		}
+		k.until = now + domainStaleTime
+		if b.upstreams[key] != nil {
+			k.until = now + b.staleTime
+		}
+		b.kept[key] = k
+	}
+	for _, e := range b.upstreams {
+		if e.missing && now < e.GraceUntil {
+			e.GraceUntil = now + renewalGrace
+		}
+	}
+}
+
 // keep reports whether a known item stays in force in place of a published one of a
 // newer era, and until when, 0 if without limit.
 func (b *Builder) keep(now clock.Millis, known, item replica.Item) (until clock.Millis, keep bool) {
--- a/fleet/catalog/rollback_test.go
+++ b/fleet/catalog/rollback_test.go
@@ -68,6 +68,19 @@
 	}
 }
 
+// TestSecondRollback guards against a time limit that runs on from an earlier rollback, so
+// that an evacuation or an upstream is lost before it can be written again.
+func TestSecondRollback(t *testing.T) {
+	b := NewBuilder(decodeWords, func(replica.Item, error) {}, 1000)
+	b.Apply(0, []replica.Item{item(1, "config", "2"), item(2, "u", "web a"), item(3, "out/b", "")}, false)
+	b.ApplyRollback(10_000, []replica.Item{back(1, removedItem(1, "u", "")), back(1, removedItem(1, "out/b", ""))})
+	b.ApplyRollback(11_500, nil) // both are still missing
+	b.Expire(13_499)
+	assert.Equal(t, describe(b, 13_499), "v2 u:true:0 out[b]")
+	b.Expire(14_500)
+	assert.Equal(t, describe(b, 14_500), "v2 u:false:0 out[]")
+}
+
 // model is a publisher that goes back to earlier copies, with the last write of each key.
 type model struct {
 	era    replica.Era
