Take the end of kept items off the ticks of the engine

Each tick, every 50 ms, took the lock of the copy to look for kept items, with a store that has no era too. That lock is held while an update is merged or a catalog built, and a tick that comes late makes a VM distrust its evidence.

The gossip round, which takes that lock anyway, does it instead, every 250 ms. No test: the delay depends on the machine.

--- a/amaranthd/entry/daemon.go
+++ b/amaranthd/entry/daemon.go
@@ -282,7 +282,6 @@
 		now := d.clk.Now()
 		d.engine.Tick(now)
 		d.peers.sendSuspicions()
-		d.replicator.expireKept()
 		if now-lastPruned > pruneInterval {
 			lastPruned = now
 			d.replicator.prune()
--- a/amaranthd/entry/kept.go
+++ b/amaranthd/entry/kept.go
@@ -21,7 +21,7 @@
 }
 
 // expireKept ends what was kept in force long enough since the source came back from an
-// older copy.
+// older copy. It may wait for a build or make one, which would delay the ticks of the engine.
 func (r *replicator) expireKept() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/amaranthd/entry/peers.go
+++ b/amaranthd/entry/peers.go
@@ -208,6 +208,7 @@
 func (p *peers) round(ctx context.Context) {
 	now := p.clk.Now()
 	p.sendProbe(now)
+	p.replicator.expireKept()
 	local := p.replicator.localCopy()
 	loads := loadsToGossip(p.engine.Loads())
 	p.mu.Lock()
