Pause between reads that a compacted watch leads to again and again

If the store goes back but its header is missing or unreadable, the watch gets status 410, the read changes no revision, and the next watch gets 410 again. The reader then read everything without a pause: 189,312 times in 0.8 s from the fake source of the test.

A second ErrCompacted at the same revision is now followed by the shortest retry delay. The first one leads to a read at once, as before. The new test sees at most 10 reads in 0.8 s.

--- a/amaranthd/entry/replicator.go
+++ b/amaranthd/entry/replicator.go
@@ -337,7 +337,7 @@
 // run keeps the copy up to date until ctx is done. It retries failed calls after a
 // delay.
 func (r *replicator) run(ctx context.Context) error {
-	failures := 0
+	failures, compactedAt := 0, replica.Revision(0)
 	for ctx.Err() == nil {
 		calledAt := r.clk.Now()
 		err := r.step(ctx)
@@ -347,6 +347,12 @@
 		case errors.Is(err, errInterrupted):
 		case errors.Is(err, ErrCompacted):
 			r.nextReadAt = 0
+			complete := r.localCopy().Complete
+			if complete == compactedAt {
+				// A read did not help. The source has gone back in the same era.
+				r.wait(ctx, replica.RetryDelay(int(r.rank.Load()), 1, false))
+			}
+			compactedAt = complete
 		default:
 			// A watch may hang while reads still succeed, so read next.
 			r.nextReadAt = 0
--- a/amaranthd/entry/replicator_test.go
+++ b/amaranthd/entry/replicator_test.go
@@ -112,6 +112,19 @@
 	}
 }
 
+// TestSourceGoesBackWithoutEra guards against full reads without a pause from a source that
+// gives out revisions again and does not tell so.
+func TestSourceGoesBackWithoutEra(t *testing.T) {
+	f := &fakeSource{read: func() (replica.Update, error) { return fullUpdate(3) }}
+	f.watch = func(context.Context, replica.Revision) (replica.Update, error) { return replica.Update{}, ErrCompacted }
+	r := newTestReplicator(f, func(*catalog.Catalog) {})
+	r.setRank(0, false)
+	startReplicator(t, r)
+	time.Sleep(800 * time.Millisecond)
+	reads, _ := f.counts()
+	assert.Assert(t, reads > 1 && reads <= 10, "%d reads", reads)
+}
+
 // TestReadAfterWatchTimeout has watches hang while reads succeed. The reader and a
 // VM whose copy nobody confirms must find the change by a read.
 func TestReadAfterWatchTimeout(t *testing.T) {
