Tell the source the era known before a read

A VM that starts, got era 3 from other VMs and reads a store that no longer sends the header took the read for one of era 0. It refused it as late, and as a failure leads to another read, never to a watch, which alone told the store client the era, the VM counted the store as away for ever.

Source.Read now gets the era of the copy.

--- a/amaranthd/entry/adapter.go
+++ b/amaranthd/entry/adapter.go
@@ -35,8 +35,9 @@
 
 // Source reads the published items from the platform's store.
 type Source struct {
-	// Read returns all published items.
-	Read func(ctx context.Context) (replica.Update, error)
+	// Read returns all published items. If the source does not tell its era, that is
+	// known, the last one of which this VM knows.
+	Read func(ctx context.Context, known replica.Era) (replica.Update, error)
 	// Watch returns the changes after the given revision. It waits for a change
 	// for at most wait. It returns ErrCompacted if the source no longer has those
 	// changes; the caller then calls Read.
--- a/amaranthd/entry/replicator.go
+++ b/amaranthd/entry/replicator.go
@@ -396,7 +396,7 @@
 	defer cancel()
 	r.calls.Add(1)
 	requestedAt, count := r.clk.Now(), r.pauses.poll()
-	u, err := r.source.Read(bounded)
+	u, err := r.source.Read(bounded, r.localCopy().Complete.Era())
 	if err != nil {
 		return err
 	}
--- a/amaranthd/entry/replicator_test.go
+++ b/amaranthd/entry/replicator_test.go
@@ -28,7 +28,7 @@
 
 func (f *fakeSource) source() Source {
 	return Source{
-		Read: func(context.Context) (replica.Update, error) {
+		Read: func(context.Context, replica.Era) (replica.Update, error) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			f.reads++
