Refuse the copy to builds that know no eras while the era is above 0

A VM of an earlier build that fetches a copy of era 1 stores revisions above 2^48. A rolling upgrade after a rollback would end in that.

Requests now tell that the caller knows eras, and without that they are refused while the era is above 0. With era 0 nothing changes. Earlier builds then poll the store themselves. TestBuildsWithoutEras failed before.

--- a/amaranthd/entry/statetransfer.go
+++ b/amaranthd/entry/statetransfer.go
@@ -5,6 +5,7 @@
 	"compress/flate"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"log/slog"
 	"sync"
@@ -39,8 +40,14 @@
 // after a revision.
 type sinceRequest struct {
 	After replica.Revision `json:"after"`
+	// Eras is set by builds that order revisions by era. An earlier build that takes a
+	// revision with an era ignores the source from then on, whose numbers are lower.
+	Eras bool `json:"eras,omitempty"`
 }
 
+// errNoEras refuses the request of a build that does not know eras.
+var errNoEras = errors.New("entry: caller does not know the era of the copy")
+
 // sinceReply holds a replica.Update, encoded in CBOR (RFC 8949) and compressed
 // with DEFLATE (RFC 1951).
 type sinceReply struct {
@@ -124,7 +131,7 @@
 // reports whether that succeeded.
 func (t *stateTransfer) fetch(ctx context.Context, from gossip.Peer, after replica.Revision) bool {
 	var reply sinceReply
-	err := t.pool.Call(ctx, from.Address, methodSince, sinceRequest{After: after}, &reply)
+	err := t.pool.Call(ctx, from.Address, methodSince, sinceRequest{After: after, Eras: true}, &reply)
 	if err != nil {
 		event.Log(ctx, t.log, event.ChannelSilent, slog.String("peer", string(from.ID)), event.Error(err))
 		return false
@@ -165,6 +172,9 @@
 	if err := json.Unmarshal(params, &req); err != nil {
 		return nil, err
 	}
+	if !req.Eras && t.replicator.localCopy().Complete.Era() > 0 {
+		return nil, errNoEras
+	}
 	data, err := t.encodedChanges(req.After)
 	if err != nil {
 		return nil, err
--- a/amaranthd/entry/statetransfer_test.go
+++ b/amaranthd/entry/statetransfer_test.go
@@ -6,9 +6,25 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/amaranthswitch/amaranthswitch/fleet/catalog"
 	"github.com/amaranthswitch/amaranthswitch/fleet/replica"
 )
 
+// TestBuildsWithoutEras guards against a VM of an earlier build that takes a revision with
+// an era, and then ignores all changes that it reads from the source.
+func TestBuildsWithoutEras(t *testing.T) {
+	r := newTestReplicator(&fakeSource{}, func(*catalog.Catalog) {})
+	s := newStateTransfer(r, nil, nil, r.log)
+	for era := range replica.Era(2) {
+		u, _ := fullUpdate(replica.RevisionOf(era, 3))
+		r.apply(u, "other")
+		_, err := s.serve(t.Context(), []byte(`{"after":2}`))
+		assert.Equal(t, err == nil, era == 0)
+		_, err = s.serve(t.Context(), []byte(`{"after":2,"eras":true}`))
+		assert.NilError(t, err)
+	}
+}
+
 func TestUpdateEncoding(t *testing.T) {
 	u := replica.Update{After: 3, Complete: 9, Full: true}
 	for i := range 1000 {
