Encode what is kept before the reply is copied

Go does not say whether the reply in a return statement is copied before or after a call in the same statement changes it.

--- a/amaranthd/entry/statetransfer.go
+++ b/amaranthd/entry/statetransfer.go
@@ -180,7 +180,8 @@
 		return nil, err
 	}
 	reply := sinceReply{Update: data, RemovalAges: t.replicator.recentRemovals(maxRemovalAge)}
-	return reply, reply.setKept(t.replicator.keptItems())
+	err = reply.setKept(t.replicator.keptItems())
+	return reply, err
 }
 
 // encodedChanges returns the encoded changes after a revision. It caches the last
