Check the era of a read again after it caught up

The check came before the catch-up, which waits up to 400 ms for the store. If another VM passed on a new era in that time, the late read was applied with its items as kept ones and confirmed the copy of the new era. The answer to the catch-up itself was not checked at all.

The read is now checked right before it is applied, and so is the answer. Between the check and the lock of the copy a new era may still arrive, for some microseconds.

--- a/amaranthd/entry/replicator.go
+++ b/amaranthd/entry/replicator.go
@@ -400,12 +400,12 @@
 	if err != nil {
 		return err
 	}
-	if err = r.checkEra(&u); err != nil {
-		return err
-	}
 	if periodic {
 		r.catchUp(bounded, u.Complete)
 	}
+	if err = r.checkEra(&u); err != nil {
+		return err
+	}
 	r.nextReadAt = r.clk.Now() + fullReadInterval
 	r.apply(u, fromRead)
 	r.recordSuccess(ctx, requestedAt, count)
@@ -425,6 +425,9 @@
 	defer cancel()
 	r.calls.Add(1)
 	u, err := r.source.Watch(bounded, after, checkWait)
+	if err == nil {
+		err = r.checkEra(&u)
+	}
 	if err != nil {
 		r.failures.Add(1)
 		return
--- a/amaranthd/entry/replicator_test.go
+++ b/amaranthd/entry/replicator_test.go
@@ -291,6 +291,21 @@
 	assert.DeepEqual(t, updates, []replica.Update{{After: 5, Complete: 9, Items: []replica.Item{configItem(9)}}})
 }
 
+// TestEraDuringRead has another VM pass on a new era while a read catches up. It guards
+// against late answers that are applied and confirm the copy of the new era.
+func TestEraDuringRead(t *testing.T) {
+	f := &fakeSource{read: func() (replica.Update, error) { return fullUpdate(9) }}
+	r := newTestReplicator(f, func(*catalog.Catalog) {})
+	f.watch = func(context.Context, replica.Revision) (replica.Update, error) {
+		u, _ := fullUpdate(replica.RevisionOf(1, 3))
+		r.apply(u, "other")
+		return fullUpdate(9)
+	}
+	r.apply(replica.Update{Full: true, Complete: 5, Items: []replica.Item{configItem(5)}}, fromRead)
+	assert.ErrorIs(t, r.read(context.Background(), true), errLate)
+	assert.Equal(t, r.localCopy().ConfirmedAt, clock.Millis(0))
+}
+
 func waitFor(t *testing.T, holds func() bool) {
 	t.Helper()
 	for deadline := time.Now().Add(3 * time.Second); !holds(); time.Sleep(5 * time.Millisecond) {
