--- a/amaranthd/entry/replicator_test.go
+++ b/amaranthd/entry/replicator_test.go
@@ -28,7 +28,7 @@
 
 func (f *fakeSource) source() Source {
 	return Source{
-		Read: func(context.Context) (replica.Update, error) {
+		Read: func(context.Context, replica.Era) (replica.Update, error) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			f.reads++
@@ -112,6 +112,19 @@
 	}
 }
 
+// TestSourceGoesBackWithoutEra guards against full reads without a pause from a source that
+// gives out revisions again and does not tell so.
+func TestSourceGoesBackWithoutEra(t *testing.T) {
+	f := &fakeSource{read: func() (replica.Update, error) { return fullUpdate(3) }}
+	f.watch = func(context.Context, replica.Revision) (replica.Update, error) { return replica.Update{}, ErrCompacted }
+	r := newTestReplicator(f, func(*catalog.Catalog) {})
+	r.setRank(0, false)
+	startReplicator(t, r)
+	time.Sleep(800 * time.Millisecond)
+	reads, _ := f.counts()
+	assert.Assert(t, reads > 1 && reads <= 10, "%d reads", reads)
+}
+
 // TestReadAfterWatchTimeout has watches hang while reads succeed. The reader and a
 // VM whose copy nobody confirms must find the change by a read.
 func TestReadAfterWatchTimeout(t *testing.T) {
@@ -278,6 +291,21 @@
 	assert.DeepEqual(t, updates, []replica.Update{{After: 5, Complete: 9, Items: []replica.Item{configItem(9)}}})
 }
 
+// TestEraDuringRead has another VM pass on a new era while a read catches up. It guards
+// against late answers that are applied and confirm the copy of the new era.
+func TestEraDuringRead(t *testing.T) {
+	f := &fakeSource{read: func() (replica.Update, error) { return fullUpdate(9) }}
+	r := newTestReplicator(f, func(*catalog.Catalog) {})
+	f.watch = func(context.Context, replica.Revision) (replica.Update, error) {
+		u, _ := fullUpdate(replica.RevisionOf(1, 3))
+		r.apply(u, "other")
+		return fullUpdate(9)
+	}
+	r.apply(replica.Update{Full: true, Complete: 5, Items: []replica.Item{configItem(5)}}, fromRead)
+	assert.ErrorIs(t, r.read(context.Background(), true), errLate)
+	assert.Equal(t, r.localCopy().ConfirmedAt, clock.Millis(0))
+}
+
 func waitFor(t *testing.T, holds func() bool) {
 	t.Helper()
 	for deadline := time.Now().Add(3 * time.Second); !holds(); time.Sleep(5 * time.Millisecond) {
--- a/amaranthd/entry/statetransfer.go
+++ b/amaranthd/entry/statetransfer.go
@@ -5,6 +5,7 @@
 	"compress/flate"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"log/slog"
 	"sync"
@@ -39,8 +40,14 @@
 // after a revision.
 type sinceRequest struct {
 	After replica.Revision `json:"after"`
+	// Eras is set by builds that order revisions by era. An earlier build that takes a
+	// revision with an era ignores the source from then on, whose numbers are lower.
+	Eras bool `json:"eras,omitempty"`
 }
 
+// errNoEras refuses the request of a build that does not know eras.
+var errNoEras = errors.New("entry: caller does not know the era of the copy")
+
 // sinceReply holds a replica.Update, encoded in CBOR (RFC 8949) and compressed
 // with DEFLATE (RFC 1951).
 type sinceReply struct {
@@ -48,6 +55,11 @@
 	// RemovalAges holds the ages in milliseconds of the tombstones that are at most
 	// maxRemovalAge old.
 	RemovalAges map[replica.Key]clock.Millis `json:"removalAges,omitempty"`
+	// Kept holds the items that the sender keeps in force since the source came back
+	// from an older copy, encoded as the items of Update, and KeptLeft the times in
+	// milliseconds for which it does so, without those that have no limit.
+	Kept     []byte                       `json:"kept,omitempty"`
+	KeptLeft map[replica.Key]clock.Millis `json:"keptLeft,omitempty"`
 }
 
 // pullRequest is a queued request for published items from another VM.
@@ -119,7 +131,7 @@
 // reports whether that succeeded.
 func (t *stateTransfer) fetch(ctx context.Context, from gossip.Peer, after replica.Revision) bool {
 	var reply sinceReply
-	err := t.pool.Call(ctx, from.Address, methodSince, sinceRequest{After: after}, &reply)
+	err := t.pool.Call(ctx, from.Address, methodSince, sinceRequest{After: after, Eras: true}, &reply)
 	if err != nil {
 		event.Log(ctx, t.log, event.ChannelSilent, slog.String("peer", string(from.ID)), event.Error(err))
 		return false
@@ -130,7 +142,12 @@
 		return false
 	}
 	setRemovalAges(&u, reply.RemovalAges)
-	t.replicator.apply(u, string(from.ID))
+	kept, err := reply.kept()
+	if err != nil {
+		event.Log(ctx, t.log, event.MessageInvalid, slog.String("peer", string(from.ID)), event.Error(err))
+		return false
+	}
+	t.replicator.applyWithKept(u, kept, string(from.ID))
 	return true
 }
 
@@ -155,11 +172,16 @@
 	if err := json.Unmarshal(params, &req); err != nil {
 		return nil, err
 	}
+	if !req.Eras && t.replicator.localCopy().Complete.Era() > 0 {
+		return nil, errNoEras
+	}
 	data, err := t.encodedChanges(req.After)
 	if err != nil {
 		return nil, err
 	}
-	return sinceReply{Update: data, RemovalAges: t.replicator.recentRemovals(maxRemovalAge)}, nil
+	reply := sinceReply{Update: data, RemovalAges: t.replicator.recentRemovals(maxRemovalAge)}
+	err = reply.setKept(t.replicator.keptItems())
+	return reply, err
 }
 
 // encodedChanges returns the encoded changes after a revision. It caches the last
--- a/fleet/event/event.go
+++ b/fleet/event/event.go
@@ -73,6 +73,10 @@
 	EvidenceDistrusted ID = 6012
 	// AdmissionChanged is logged when the share of new flows that is admitted changes.
 	AdmissionChanged ID = 6013
+	// StoreEraChanged is logged when the store came back from an older copy, and
+	// StoreEraInvalid when a response does not tell the era of the store.
+	StoreEraChanged ID = 6014
+	StoreEraInvalid ID = 6015
 )
 
 // Events of requests.
@@ -105,6 +109,8 @@
 	RequestStopped:     "requestStopped",
 	EvidenceDistrusted: "evidenceDistrusted",
 	AdmissionChanged:   "admissionChanged",
+	StoreEraChanged:    "storeEraChanged",
+	StoreEraInvalid:    "storeEraInvalid",
 	LinesOmitted:       "linesOmitted",
 	ConfigAccepted:     "configAccepted",
 	ConfigInvalid:      "configInvalid",
@@ -138,6 +144,8 @@
 	RequestStopped:     slog.LevelWarn,
 	EvidenceDistrusted: slog.LevelWarn,
 	AdmissionChanged:   slog.LevelWarn,
+	StoreEraChanged:    slog.LevelWarn,
+	StoreEraInvalid:    slog.LevelWarn,
 	ItemInvalid:        slog.LevelError,
 	FlowRefused:        slog.LevelWarn,
 	FlowLost:           slog.LevelWarn,
