Report the load state of a VM in gossip messages

Cause: VMs of a failure domain must know how many of them report not ready for their load. Message is encoded as an array, and the decoder rejects an array with another number of elements, so a field at the end would cut off VMs of different versions from each other.

Change: EncodeMessage wraps the array in a CBOR tag whose number holds the load state, unless it is Normal. The decoder of earlier versions ignores tags. Group.OverloadPeers summarizes the states of the failure domain.

Result: go test ./fleet/gossip. A message encoded by the version before is read and stays the content of the tag. FuzzMessage ran 10 s without a finding.

--- a/amaranthd/entry/fuzz_test.go
+++ b/amaranthd/entry/fuzz_test.go
@@ -4,7 +4,6 @@
 	"net/netip"
 	"testing"
 
-	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 
 	"github.com/amaranthswitch/amaranthswitch/fleet/catalog"
@@ -12,6 +11,7 @@
 	"github.com/amaranthswitch/amaranthswitch/fleet/forward"
 	"github.com/amaranthswitch/amaranthswitch/fleet/gossip"
 	"github.com/amaranthswitch/amaranthswitch/fleet/replica"
+	"github.com/amaranthswitch/amaranthswitch/fleet/vmload"
 )
 
 // fuzzNow is the time at which messages are received.
@@ -22,7 +22,7 @@
 func FuzzMessage(f *testing.F) {
 	from := gossip.Peer{ID: "other", Domain: "a", Region: "r", Address: netip.MustParseAddrPort("127.0.0.1:9")}
 	for _, msg := range []gossip.Message{
-		{From: from, Seq: 1},
+		{From: from, Seq: 1, Overload: vmload.NotReady},
 		{
 			From: from, Seq: 2, WantsReply: true, Peers: []gossip.Peer{from}, Loads: []gossip.Load{{Token: 1, InFlight: 2}},
 			DomainContacts: []gossip.DomainContact{{Domain: "b", Age: 3}},
@@ -30,13 +30,13 @@
 			Update:         &replica.Update{Complete: 9, Items: []replica.Item{{Key: "config", Value: []byte("7"), Revision: 9}}},
 		},
 	} {
-		data, err := cbor.Marshal(&msg)
+		data, err := gossip.EncodeMessage(&msg)
 		assert.NilError(f, err)
 		f.Add(data)
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var msg gossip.Message
-		if cbor.Unmarshal(data, &msg) != nil {
+		if gossip.DecodeMessage(data, &msg) != nil {
 			return
 		}
 		e := forward.New("vm", "a")
@@ -52,7 +52,7 @@
 		g.Partitioned(fuzzNow, "b")
 		g.Rank(fuzzNow)
 		for i := range out {
-			_, err := cbor.Marshal(&out[i].Message)
+			_, err := gossip.EncodeMessage(&out[i].Message)
 			assert.NilError(t, err)
 		}
 	})
--- a/amaranthd/entry/peers.go
+++ b/amaranthd/entry/peers.go
@@ -149,7 +149,7 @@
 // receive decodes a message and applies its contents.
 func (p *peers) receive(data []byte) {
 	var msg gossip.Message
-	if err := cbor.Unmarshal(data, &msg); err != nil {
+	if err := gossip.DecodeMessage(data, &msg); err != nil {
 		p.invalid.Add(1)
 		return
 	}
@@ -300,7 +300,7 @@
 
 func (p *peers) send(out []gossip.Envelope) {
 	for i := range out {
-		data, err := cbor.Marshal(&out[i].Message)
+		data, err := gossip.EncodeMessage(&out[i].Message)
 		if err != nil {
 			p.invalid.Add(1)
 			continue
--- a/fleet/gossip/group.go
+++ b/fleet/gossip/group.go
@@ -8,6 +8,7 @@
 
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
 	"github.com/amaranthswitch/amaranthswitch/fleet/ident"
+	"github.com/amaranthswitch/amaranthswitch/fleet/vmload"
 )
 
 const (
@@ -61,6 +62,7 @@
 	leaving              bool
 	stranded             bool
 	publisherUnreachable bool
+	overload             vmload.State
 	replica              ReplicaState
 	loads                []Load
 }
@@ -81,6 +83,7 @@
 	stranded  bool
 	// publisherUnreachable is set while the publisher does not answer this VM.
 	publisherUnreachable bool
+	overload             vmload.State
 	reader               reader
 	// domainHeard is when any VM of the local failure domain last received a
 	// message from each other failure domain.
@@ -142,6 +145,7 @@
 	firstMessage := m.lastHeard == 0
 	m.peer, m.started, m.lastSeq = msg.From, msg.Started, msg.Seq
 	m.lastHeard, m.leaving, m.stranded, m.publisherUnreachable = now, msg.Leaving, msg.Stranded, msg.PublisherUnreachable
+	m.overload = msg.Overload
 	g.mergeReader(now, msg)
 	g.mergeDomainContacts(now, msg)
 	m.replica = ReplicaState{Complete: msg.Complete, ConfirmedAt: now - max(0, msg.Age)}
--- a/fleet/gossip/message.go
+++ b/fleet/gossip/message.go
@@ -7,6 +7,7 @@
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
 	"github.com/amaranthswitch/amaranthswitch/fleet/ident"
 	"github.com/amaranthswitch/amaranthswitch/fleet/replica"
+	"github.com/amaranthswitch/amaranthswitch/fleet/vmload"
 )
 
 // Peer identifies a VM and its address.
@@ -65,6 +66,9 @@
 	Suspicions []Suspicion
 	// Update is the newest change, or nil if it is too large for a message.
 	Update *replica.Update
+	// Overload is the load state of the sender. EncodeMessage adds it as a tag around
+	// the other fields.
+	Overload vmload.State `cbor:"-"`
 }
 
 // Reader identifies the VM that watches the publisher for its region. Age is the
--- /dev/null
+++ b/fleet/gossip/overload.go
@@ -0,0 +1,19 @@
+package gossip
+
+import (
+	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
+	"github.com/amaranthswitch/amaranthswitch/fleet/vmload"
+)
+
+// SetOverload sets the load state of this VM, which its messages report.
+func (g *Group) SetOverload(s vmload.State) { g.overload = s }
+
+// OverloadPeers summarizes the load states of the living VMs of the local failure domain,
+// ordered by identifier. In a large failure domain it covers those heard lately.
+func (g *Group) OverloadPeers(now clock.Millis) vmload.Peers {
+	peers := vmload.Peers{Living: 1}
+	for _, m := range g.aliveNear(now) {
+		peers.Add(m.overload, m.peer.ID < g.self.ID)
+	}
+	return peers
+}
--- a/fleet/gossip/round.go
+++ b/fleet/gossip/round.go
@@ -80,7 +80,7 @@
 	g.seq++
 	return Message{
 		From: g.self, Started: g.started, Seq: g.seq, Leaving: g.leaving, Stranded: g.stranded, PublisherUnreachable: g.publisherUnreachable,
-		Complete: state.Complete, Age: min(maxAge, now-state.ConfirmedAt), Reader: g.readerInfo(now),
+		Complete: state.Complete, Age: min(maxAge, now-state.ConfirmedAt), Reader: g.readerInfo(now), Overload: g.overload,
 	}
 }
 
