Read the limits of a VM from the settings

Cause: the daemon does not know the size of its VM.

Change: the optional object limits of the settings has linkMbps and cores, or cpuShare and cpuCores in place of cores, since the language of the template cannot multiply. Each may be missing or null.

--- a/amaranthd/entry/settings.go
+++ b/amaranthd/entry/settings.go
@@ -13,6 +13,7 @@
 
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
 	"github.com/amaranthswitch/amaranthswitch/fleet/ident"
+	"github.com/amaranthswitch/amaranthswitch/fleet/vmload"
 )
 
 // Settings configures the daemon of one VM.
@@ -45,6 +46,8 @@
 	StopMillis clock.Millis `json:"stopMillis"`
 	// LogLevel is debug, info, warn or error.
 	LogLevel string `json:"logLevel"`
+	// Limits are the limits of this VM, near which it drops openings. They are optional.
+	Limits vmload.Limits `json:"limits,omitzero"`
 }
 
 // DefaultSettings returns the default settings, without identity and addresses.
@@ -75,16 +78,22 @@
 	if err = f.setDurations(); err != nil {
 		return s, err
 	}
+	if s.Limits, err = f.Limits.limits(); err != nil {
+		return s, err
+	}
 	return s, s.validate()
 }
 
 // settingsFile is the JSON form of Settings. Its own fields take the place of the
-// durations, since a platform may write any number, such as 2.5, 6.0 or 1e3.
+// durations, since a platform may write any number, such as 2.5, 6.0 or 1e3, and of the
+// limits.
 type settingsFile struct {
 	*Settings
 	HeartbeatMillis *float64 `json:"heartbeatMillis"`
 	StopMillis      *float64 `json:"stopMillis"`
 	StopSeconds     *float64 `json:"stopSeconds"`
+
+	Limits *limitsFile `json:"limits"`
 }
 
 func (f *settingsFile) decode(data []byte) error {
