Drop openings and report not ready near the limits of a VM

Cause: a small VM at its limit delays or loses packets of open flows.

Change: the data path counts the bytes on its link, and every 50 ms the daemon records them and its processor time, updates which openings it drops and whether it is ready, and tells the others. A copy of an opening that this VM has placed follows its flow. A VM that stops drops nothing. Without limits none of this runs.

Result: go test ./amaranthd/entry.

--- a/amaranthd/entry/daemon.go
+++ b/amaranthd/entry/daemon.go
@@ -43,6 +43,7 @@
 	replicator *replicator
 	peers      *peers
 	pauses     *pauseDetector
+	overload   *overloadControl
 	pool       *rpc.Pool
 	server     *rpc.Server
 	latencies  *latencyObservers
@@ -108,7 +109,7 @@
 			ignore := func(clock.Millis) {}
 			return &latencyObservers{opened: ignore, answered: ignore, activated: ignore}
 		},
-		providePauseDetector, provideEngine, provideReplicator, provideDataPath, providePool, provideServer, providePeers, newDaemon,
+		providePauseDetector, provideEngine, provideReplicator, provideDataPath, providePool, provideServer, providePeers, newOverloadControl, newDaemon,
 	} {
 		if err = c.Provide(constructor); err != nil {
 			cleanups.Run()
@@ -181,6 +182,7 @@
 	Replicator *replicator
 	Peers      *peers
 	Pauses     *pauseDetector
+	Overload   *overloadControl
 	Pool       *rpc.Pool
 	Server     *rpc.Server
 	Latencies  *latencyObservers
@@ -189,7 +191,7 @@
 
 func newDaemon(ctx context.Context, p dependencies) (d *Daemon, err error) {
 	d = &Daemon{
-		settings: *p.Settings, clk: p.Options.clk, log: p.Log, engine: p.Engine, dataPath: p.DataPath, replicator: p.Replicator, peers: p.Peers, pauses: p.Pauses,
+		settings: *p.Settings, clk: p.Options.clk, log: p.Log, engine: p.Engine, dataPath: p.DataPath, replicator: p.Replicator, peers: p.Peers, pauses: p.Pauses, overload: p.Overload,
 		pool: p.Pool, server: p.Server, latencies: p.Latencies, started: p.Options.clk.Now(), linesDropped: p.Options.linesDropped,
 	}
 	d.stopTime.Store(int64(p.Settings.StopMillis))
@@ -242,7 +244,7 @@
 
 // ready reports whether the fabric may send packets to this VM.
 func (d *Daemon) ready() bool {
-	return !d.leaving.Load() && d.engine.Ready() && !d.peers.reportNotReady.Load()
+	return !d.leaving.Load() && d.engine.Ready() && !d.peers.reportNotReady.Load() && !d.overload.reportNotReady.Load()
 }
 
 // Run runs the daemon until ctx is done, and then drains it. It returns an error
@@ -281,6 +283,7 @@
 		d.pauses.poll()
 		now := d.clk.Now()
 		d.engine.Tick(now)
+		d.overload.poll(ctx, now)
 		d.peers.sendSuspicions()
 		if now-lastPruned > pruneInterval {
 			lastPruned = now
@@ -302,6 +305,7 @@
 func (d *Daemon) drain(ctx context.Context) {
 	event.Log(ctx, d.log, event.DaemonLeaving)
 	d.leaving.Store(true)
+	d.overload.stop()
 	d.peers.leave()
 	start := d.clk.Now()
 	for {
--- a/amaranthd/entry/datapath.go
+++ b/amaranthd/entry/datapath.go
@@ -20,6 +20,8 @@
 	// socketBufferBytes is the size of the receive buffer, which holds the packets
 	// that arrive during a pause of the process.
 	socketBufferBytes = 4 << 20
+	// datagramHeaderBytes is the length of the headers of IPv4 and UDP.
+	datagramHeaderBytes = 28
 )
 
 // dataPath forwards packets from the fabric to upstreams.
@@ -37,6 +39,9 @@
 	// awaitHistory blocks for a limited time after the start, until this VM knows what
 	// was removed before. It is set before run is called.
 	awaitHistory func(ctx context.Context)
+	// sheds reports whether to drop an opening packet since this VM is near its limits.
+	// It is set before run is called.
+	sheds func(packet *forward.Packet) bool
 	// replyPort is the port at which callers receive packets.
 	replyPort uint16
 
@@ -47,6 +52,8 @@
 
 	received, malformed, sendErrors atomic.Int64
 	lastPacketAt                    atomic.Int64 // clock.Millis
+	// bytesIn and bytesOut count the bytes on the link, with all headers from that of IP.
+	bytesIn, bytesOut atomic.Int64
 }
 
 // listenPackets opens the packet socket. Its buffer holds arriving packets until
@@ -65,7 +72,7 @@
 
 func newDataPath(conn *net.UDPConn, a *Adapter, engine *forward.Engine, clk clock.Clock, pauses *pauseDetector, requests requestLog, requestRead func()) *dataPath {
 	port := conn.LocalAddr().(*net.UDPAddr).AddrPort().Port()
-	p := &dataPath{conn: conn, batch: ipv4.NewPacketConn(conn), codec: a.Codec, engine: engine, clk: clk, pauses: pauses, replyPort: port, requests: requests, requestRead: requestRead, awaitHistory: func(context.Context) {}}
+	p := &dataPath{conn: conn, batch: ipv4.NewPacketConn(conn), codec: a.Codec, engine: engine, clk: clk, pauses: pauses, replyPort: port, requests: requests, requestRead: requestRead, awaitHistory: func(context.Context) {}, sheds: func(*forward.Packet) bool { return false }}
 	p.makeBuffers()
 	return p
 }
@@ -102,6 +109,7 @@
 		now := p.clk.Now()
 		p.received.Add(int64(n))
 		p.lastPacketAt.Store(int64(now))
+		p.bytesIn.Add(linkBytes(p.in[:n], true))
 		for i := range p.in[:n] {
 			p.handle(now, p.buffers[i], p.in[i].N)
 		}
@@ -118,7 +126,7 @@
 		p.malformed.Add(1)
 		return
 	}
-	d := p.engine.Handle(now, &packet)
+	d := p.decide(now, &packet)
 	if packet.Bytes > 0 {
 		p.logRequest(data, &packet, &d)
 	}
@@ -138,6 +146,14 @@
 	}
 }
 
+// decide decides what to do with a packet.
+func (p *dataPath) decide(now clock.Millis, packet *forward.Packet) forward.Decision {
+	if packet.Opening && p.sheds(packet) {
+		return p.engine.DropOverloaded()
+	}
+	return p.engine.Handle(now, packet)
+}
+
 // logRequest logs the decision about a packet in which a request starts.
 func (p *dataPath) logRequest(data []byte, packet *forward.Packet, d *forward.Decision) {
 	request := p.codec.RequestID(data)
@@ -186,7 +202,9 @@
 func (p *dataPath) flush() {
 	for sent := 0; sent < p.queued; {
 		n, err := p.batch.WriteBatch(p.out[sent:p.queued], 0)
-		sent += max(0, n)
+		n = max(0, n)
+		p.bytesOut.Add(linkBytes(p.out[sent:sent+n], false))
+		sent += n
 		if err != nil {
 			p.sendErrors.Add(1)
 			sent++
@@ -194,3 +212,15 @@
 	}
 	p.queued = 0
 }
+
+// linkBytes returns the length of received or sent datagrams with their headers.
+func linkBytes(list []ipv4.Message, received bool) (n int64) {
+	for i := range list {
+		if received {
+			n += int64(list[i].N)
+		} else {
+			n += int64(len(list[i].Buffers[0]))
+		}
+	}
+	return n + int64(len(list))*datagramHeaderBytes
+}
--- a/amaranthd/entry/metrics.go
+++ b/amaranthd/entry/metrics.go
@@ -40,6 +40,8 @@
 		"amaranth_entry_revision":                func() int64 { return int64(d.replicator.localCopy().Complete) },
 		"amaranth_entry_log_lines_dropped_total": d.linesDropped,
 	}
+	counts[`amaranth_entry_link_bytes_total{direction="in"}`] = d.dataPath.bytesIn.Load
+	counts[`amaranth_entry_link_bytes_total{direction="out"}`] = d.dataPath.bytesOut.Load
 	for name, read := range counts {
 		s.Gauge(name, func() float64 { return float64(read()) })
 	}
@@ -48,6 +50,7 @@
 	s.Gauge("amaranth_entry_config_version", func() float64 { return float64(d.status().Version) })
 	s.Gauge("amaranth_entry_upstreams", func() float64 { return float64(d.status().Upstreams) })
 	s.Gauge("amaranth_entry_evidence_distrusted", func() float64 { return boolToFloat(!d.engine.TrustsEvidence(d.clk.Now())) })
+	s.Gauge("amaranth_entry_utilization", d.overload.lastUtilization)
 	s.Gauge("amaranth_entry_ready", func() float64 { return boolToFloat(d.ready()) })
 	for r := forward.NoCatalog; r < forward.ReasonCount; r++ {
 		s.Gauge(fmt.Sprintf("amaranth_entry_packets_dropped_total{reason=%q}", r), func() float64 { return float64(d.engine.Dropped[r].Load()) })
--- a/amaranthd/entry/partition.go
+++ b/amaranthd/entry/partition.go
@@ -8,6 +8,7 @@
 	"github.com/amaranthswitch/amaranthswitch/fleet/event"
 	"github.com/amaranthswitch/amaranthswitch/fleet/gossip"
 	"github.com/amaranthswitch/amaranthswitch/fleet/ident"
+	"github.com/amaranthswitch/amaranthswitch/fleet/vmload"
 )
 
 // otherDomains returns the failure domains of the fleet except the VM's own.
@@ -63,6 +64,20 @@
 	p.group.SetStranded(!reaches)
 }
 
+// overloads summarizes the load states of the VMs of the own failure domain.
+func (p *peers) overloads(now clock.Millis) vmload.Peers {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.group.OverloadPeers(now)
+}
+
+// setOverload sets the load state that messages to other VMs report.
+func (p *peers) setOverload(s vmload.State) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.group.SetOverload(s)
+}
+
 // logMembership logs which VMs became alive or silent since the last call.
 func (p *peers) logMembership(ctx context.Context, alive []gossip.Peer) {
 	aliveNow := make(map[ident.VMID]bool, len(alive))
--- a/amaranthd/entry/status.go
+++ b/amaranthd/entry/status.go
@@ -33,6 +33,9 @@
 	Upstreams  int                `json:"upstreams"`
 	Flows      int64              `json:"flows"`
 	Leaving    bool               `json:"leaving"`
+	// Utilization is the used share of the limit that is closest to being reached, 0
+	// without limits.
+	Utilization float64 `json:"utilization"`
 }
 
 // PeerStatus is the state of another VM, as this daemon sees it.
@@ -54,7 +57,7 @@
 	s := Status{
 		VM: d.settings.VM, Domain: d.settings.Domain, Ready: d.ready(), Revision: d.replicator.localCopy().Complete,
 		CopyAgeMillis: d.copyAge(), ReaderRank: int(d.replicator.rank.Load()), SourceDown: d.replicator.sourceUnreachable.Load(),
-		Peers: d.peers.status(), Leaving: d.leaving.Load(), Flows: d.engine.Flows.Load(),
+		Peers: d.peers.status(), Leaving: d.leaving.Load(), Utilization: d.overload.lastUtilization(), Flows: d.engine.Flows.Load(),
 	}
 	if c := d.engine.Catalog(); c != nil {
 		s.Version, s.DomainsOut, s.Upstreams = c.Config.Version, c.DomainsOut(), c.UpstreamCount()
--- a/fleet/event/event.go
+++ b/fleet/event/event.go
@@ -71,6 +71,8 @@
 	// EvidenceDistrusted is logged when a VM begins to distrust its evidence against
 	// upstreams.
 	EvidenceDistrusted ID = 6012
+	// VMOverloaded is logged when the reaction of a VM to its own load changes.
+	VMOverloaded ID = 6016
 )
 
 // Events of requests.
@@ -102,6 +104,7 @@
 	RequestForwarded:   "requestForwarded",
 	RequestStopped:     "requestStopped",
 	EvidenceDistrusted: "evidenceDistrusted",
+	VMOverloaded:       "vmOverloaded",
 	LinesOmitted:       "linesOmitted",
 	ConfigAccepted:     "configAccepted",
 	ConfigInvalid:      "configInvalid",
@@ -134,6 +137,7 @@
 	LinesOmitted:       slog.LevelWarn,
 	RequestStopped:     slog.LevelWarn,
 	EvidenceDistrusted: slog.LevelWarn,
+	VMOverloaded:       slog.LevelWarn,
 	ItemInvalid:        slog.LevelError,
 	FlowRefused:        slog.LevelWarn,
 	FlowLost:           slog.LevelWarn,
--- a/fleet/forward/engine.go
+++ b/fleet/forward/engine.go
@@ -264,6 +264,21 @@
 	return e.forwardOpen(now, t, p)
 }
 
+// IsPlaced reports whether this VM has given the flow of an opening packet an upstream
+// already, so that the packet is a copy.
+func (e *Engine) IsPlaced(p *Packet) bool {
+	k := keyOf(p)
+	s := e.flows.shard(k)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.flows[k]
+	return f.placed(p.Seq)
+}
+
+// DropOverloaded counts an opening packet that this VM drops near its own limits, and
+// returns the decision.
+func (e *Engine) DropOverloaded() Decision { return e.drop(VMOverloaded) }
+
 // forwardOpen forwards a packet of an open flow and updates load and health
 // from it. It refuses the packet if the upstream is lost.
 func (e *Engine) forwardOpen(now clock.Millis, t *target, p *Packet) Decision {
--- a/fleet/forward/flows.go
+++ b/fleet/forward/flows.go
@@ -44,6 +44,9 @@
 	return h ^ h>>32
 }
 
+// FlowHash returns a hash of the flow of the packet that is the same on all VMs.
+func (p *Packet) FlowHash() uint64 { return keyOf(p).hash() }
+
 // flow is the state of one flow.
 type flow struct {
 	target       *target // the upstream as it was published when its last packet was handled
@@ -168,6 +171,10 @@
 	}
 }
 
+// placed reports whether the flow was opened by an opening packet with the given sequence
+// number and is not closed.
+func (f *flow) placed(seq uint32) bool { return f.opened && f.openingSeq == seq && !f.closed }
+
 // sweep removes closed and idle flows, ends requests that timed out, and
 // returns the number of flows left.
 func (s *shard) sweep(now clock.Millis) (left int) {
--- a/fleet/forward/packet.go
+++ b/fleet/forward/packet.go
@@ -55,13 +55,15 @@
 	// UpstreamLost means that the upstream is lost or was removed, so that the
 	// flow cannot continue.
 	UpstreamLost
+	// VMOverloaded means that the VM is near its own limits and dropped an opening.
+	VMOverloaded
 	// ReasonCount is the number of reasons, NoReason included.
 	ReasonCount
 )
 
 // String returns the reason as written to logs and metrics.
 func (r Reason) String() string {
-	return [...]string{"none", "noCatalog", "noRoute", "noUpstream", "unknownToken", "upstreamLost"}[r]
+	return [...]string{"none", "noCatalog", "noRoute", "noUpstream", "unknownToken", "upstreamLost", "vmOverloaded"}[r]
 }
 
 // Decision is what to do with a packet.
--- a/fleet/forward/place.go
+++ b/fleet/forward/place.go
@@ -58,7 +58,7 @@
 	defer s.mu.Unlock()
 	f := s.flows[k]
 	var except *target
-	if f.opened && f.openingSeq == p.Seq && !f.closed {
+	if f.placed(p.Seq) {
 		if t := e.retransmitTarget(now, v, &f, p); t != nil {
 			f.seenAt = now
 			s.flows[k] = f
