Count the time at a limit anew after a pause of the process

Cause: one sample at the limit before a pause of 2 s and one after it made a VM report not ready, without the announcement that keeps others from doing the same.

--- a/fleet/vmload/vmload_test.go
+++ b/fleet/vmload/vmload_test.go
@@ -73,6 +73,8 @@
 // TestReadiness guards against a failure domain whose VMs report not ready all at once, or
 // never, or that flap. VMs know of each other what was so 0.9 s before.
 func TestReadiness(t *testing.T) {
+	paused := Readiness{hot: spell{holds: true, at: 1}}
+	assert.Equal(t, paused.Update(5000, 1, Peers{Living: 2}), Normal)
 	for _, test := range []struct {
 		vms, changes int // changes counts begins and ends of reports over all VMs
 		utilization  func(now clock.Millis) float64
