Leave stranded VMs out of those that can take over load

Cause: a VM at its limit counted others as in service that report not ready because they reach nobody, so both of two VMs could leave service.

Change: OverloadPeers counts no stranded VM.

Result: go test ./fleet/gossip passes; TestStrandedPeersTakeNoLoad fails without the change (2 living VMs instead of 1).

--- a/fleet/gossip/overload.go
+++ b/fleet/gossip/overload.go
@@ -9,11 +9,14 @@
 func (g *Group) SetOverload(s vmload.State) { g.overload = s }
 
 // OverloadPeers summarizes the load states of the living VMs of the local failure domain,
-// ordered by identifier. In a large failure domain it covers those heard lately.
+// ordered by identifier. In a large failure domain it covers those heard lately. Stranded
+// VMs are left out: they report not ready already, so they cannot take over the load.
 func (g *Group) OverloadPeers(now clock.Millis) vmload.Peers {
 	peers := vmload.Peers{Living: 1}
 	for _, m := range g.aliveNear(now) {
-		peers.Add(m.overload, m.peer.ID < g.self.ID)
+		if !m.stranded {
+			peers.Add(m.overload, m.peer.ID < g.self.ID)
+		}
 	}
 	return peers
 }
