Distrust the evidence of a VM while its link is full

Cause: on VMs with links of 10 Mbit/s packets queue for 200 to 450 ms in bursts of uploads. Callers retransmit after 200 ms, and the VM took that for stalls of upstreams that live and reset open flows.

Change: vmload.LinkQueue models each direction of the link as a fluid queue from the limit and the counted bytes. While packets wait for more than 50 ms, or at least 90 % of the capacity arrives over 100 ms, and for 1 s after, the engine distrusts the evidence of the VM (Engine.RecordFullLink). Without limits nothing changes.

Not measured: real processes on a shaped link.

--- a/amaranthd/entry/decisions.go
+++ b/amaranthd/entry/decisions.go
@@ -39,8 +39,9 @@
 		Lost: func(p *forward.Packet, u *catalog.Entry) {
 			event.Log(ctx, log, event.FlowLost, append(flowAttrs(p), slog.String("upstream", string(u.ID)), slog.String("domain", string(u.Domain)))...)
 		},
-		Distrusted: func(late clock.Millis) {
-			event.Log(ctx, log, event.EvidenceDistrusted, slog.Int64("lateMillis", int64(late)))
+		Distrusted: func(c forward.DistrustCause) {
+			event.Log(ctx, log, event.EvidenceDistrusted, slog.Int64("lateMillis", int64(c.Late)),
+				slog.Bool("fullLink", c.FullLink), slog.Int64("linkDelayMillis", int64(c.LinkDelay)))
 		},
 	}
 }
--- a/amaranthd/entry/overload.go
+++ b/amaranthd/entry/overload.go
@@ -18,7 +18,8 @@
 const overloadLogInterval = clock.Second
 
 // overloadControl keeps a VM with limits below them: it drops openings and reports not
-// ready. Without limits it does nothing.
+// ready. While the link is full, it makes the engine distrust the evidence of the VM.
+// Without limits it does nothing.
 type overloadControl struct {
 	limits   vmload.Limits
 	engine   *forward.Engine
@@ -27,6 +28,7 @@
 	log      *slog.Logger
 
 	meter     *vmload.Meter
+	link      *vmload.LinkQueue
 	shedder   *vmload.Shedder
 	readiness vmload.Readiness
 	logged    overloadReport
@@ -45,7 +47,7 @@
 func newOverloadControl(settings *Settings, engine *forward.Engine, dataPath *dataPath, peers *peers, log *slog.Logger) *overloadControl {
 	o := &overloadControl{
 		limits: settings.Limits, engine: engine, dataPath: dataPath, peers: peers, log: log,
-		meter: vmload.NewMeter(settings.Limits), shedder: vmload.NewShedder(settings.VM),
+		meter: vmload.NewMeter(settings.Limits), link: vmload.NewLinkQueue(settings.Limits), shedder: vmload.NewShedder(settings.VM),
 	}
 	dataPath.sheds = o.sheds
 	return o
@@ -71,7 +73,11 @@
 	if !o.limits.Present() {
 		return
 	}
-	o.meter.Record(now, vmload.Usage{ReceivedBytes: o.dataPath.bytesIn.Load(), SentBytes: o.dataPath.bytesOut.Load(), Processor: processorTime()})
+	usage := vmload.Usage{ReceivedBytes: o.dataPath.bytesIn.Load(), SentBytes: o.dataPath.bytesOut.Load(), Processor: processorTime()}
+	if link := o.link.Record(now, usage); link.Full {
+		o.engine.RecordFullLink(now, link.Delay)
+	}
+	o.meter.Record(now, usage)
 	utilization := o.meter.Utilization()
 	o.utilization.Store(math.Float64bits(utilization))
 	if c := o.engine.Catalog(); c != nil {
--- a/fleet/forward/engine.go
+++ b/fleet/forward/engine.go
@@ -42,9 +42,8 @@
 	Placed func(p *Packet, d Decision, u *catalog.Entry)
 	// Lost is called for each flow that is reset because its upstream is lost.
 	Lost func(p *Packet, u *catalog.Entry)
-	// Distrusted is called when the VM begins to distrust its evidence, with the delay
-	// of the late Tick that caused it, or 0 if the evidence was refuted.
-	Distrusted func(late clock.Millis)
+	// Distrusted is called when the VM begins to distrust its evidence.
+	Distrusted func(c DistrustCause)
 	// Opened is called with the time from an opening packet to the next packet
 	// of the flow, and Answered with the time from a request to its first
 	// acknowledged answer, both as seen by this VM.
@@ -113,7 +112,7 @@
 			Health:     func(HealthChange) {},
 			Placed:     func(*Packet, Decision, *catalog.Entry) {},
 			Lost:       func(*Packet, *catalog.Entry) {},
-			Distrusted: func(clock.Millis) {},
+			Distrusted: func(DistrustCause) {},
 			Opened:     func(clock.Millis) {}, Answered: func(clock.Millis) {},
 		},
 	}
@@ -229,14 +228,21 @@
 		return
 	}
 	e.LateTicks.Add(1)
-	e.distrustEvidence(now, late)
+	e.distrustEvidence(now, DistrustCause{Late: late})
 }
 
-// distrustEvidence distrusts the evidence of this VM for a while, since a Tick was late
-// or, if late is 0, since it was refuted.
-func (e *Engine) distrustEvidence(now, late clock.Millis) {
+// distrustEvidence distrusts the evidence of this VM for a while.
+func (e *Engine) distrustEvidence(now clock.Millis, c DistrustCause) {
 	if e.localHealth.recordWrong(now) {
-		e.hooks.Distrusted(late)
+		e.hooks.Distrusted(c)
+	}
+}
+
+// RecordFullLink records that packets queue at the link of this VM, delay being the
+// estimated queueing delay. The evidence of this VM is distrusted for fullLinkDistrust.
+func (e *Engine) RecordFullLink(now, delay clock.Millis) {
+	if e.localHealth.distrustUntil(now, now+fullLinkDistrust) {
+		e.hooks.Distrusted(DistrustCause{FullLink: true, LinkDelay: delay})
 	}
 }
 
--- a/fleet/forward/learn.go
+++ b/fleet/forward/learn.go
@@ -88,7 +88,7 @@
 		}
 	}
 	if f.target.load.health.refutedBy(f.sentAt, f.stalledSentAt == f.sentAt) {
-		e.distrustEvidence(now, 0)
+		e.distrustEvidence(now, DistrustCause{})
 	}
 	before, after := f.target.load.health.recordAck(f.sentAt)
 	e.reportChange(now, f.target, HealthChange{}, before, after)
--- a/fleet/forward/localhealth.go
+++ b/fleet/forward/localhealth.go
@@ -15,12 +15,27 @@
 	// as long after each further time within maxDistrust, up to maxDistrust.
 	minDistrust = 3 * clock.Second
 	maxDistrust = 24 * clock.Second
+	// fullLinkDistrust is how long a VM distrusts its evidence after its link was full.
+	// Packets that waited there up to 450 ms are retransmitted 200 ms and 600 ms after
+	// they were sent.
+	fullLinkDistrust = clock.Second
 )
 
+// DistrustCause tells why a VM distrusts its evidence. If all fields are zero, the evidence
+// was refuted.
+type DistrustCause struct {
+	// Late is the delay of a late Tick.
+	Late clock.Millis
+	// FullLink is set if packets queue at the link of the VM, and LinkDelay is the
+	// estimated delay by that. It may be 0, since a queue before the link is not seen.
+	FullLink  bool
+	LinkDelay clock.Millis
+}
+
 // localHealth tells whether the evidence of this VM against upstreams can be trusted
 // (local health awareness, as in Lifeguard's extension of SWIM). It cannot if the
-// processor is withheld from the VM or packets are delayed around it: callers then
-// retransmit although their upstreams answer.
+// processor is withheld from the VM, packets are delayed around it or its link is full:
+// callers then retransmit although their upstreams answer.
 type localHealth struct {
 	tickedAt        atomic.Int64 // clock.Millis of the last Tick, 0 before the first
 	distrustedUntil atomic.Int64 // clock.Millis
@@ -57,6 +72,16 @@
 	return trusted
 }
 
+// distrustUntil distrusts the evidence until the given time at least, and reports whether
+// it was trusted before. Unlike recordWrong it does not prolong later distrust.
+func (h *localHealth) distrustUntil(now, until clock.Millis) (trusted bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	trusted = !h.isDistrusted(now)
+	h.distrustedUntil.Store(max(int64(until), h.distrustedUntil.Load()))
+	return trusted
+}
+
 // trusts reports whether the evidence can be trusted: no Tick is overdue, and nothing
 // was found wrong a short time ago.
 func (h *localHealth) trusts(now clock.Millis) bool {
--- a/fleet/vmload/doc.go
+++ b/fleet/vmload/doc.go
@@ -4,5 +4,6 @@
 // limit drops openings, first those of the lowest priority, since a client sends an
 // opening again and another VM may have room. Packets of open flows and openings of the
 // highest priority pass. A VM that stays at a limit reports not ready, unless too many
-// VMs of its failure domain do so already.
+// VMs of its failure domain do so already. While packets queue at its link, its evidence
+// against upstreams is not to be trusted.
 package vmload
--- a/fleet/vmload/vmload_test.go
+++ b/fleet/vmload/vmload_test.go
@@ -1,6 +1,7 @@
 package vmload
 
 import (
+	"fmt"
 	"math"
 	"testing"
 
@@ -103,3 +104,28 @@
 		assert.Equal(t, changes, test.changes, "%+v", test)
 	}
 }
+
+// TestLinkQueue guards against a full link that is not noticed before callers retransmit,
+// and against one with room, or without a limit, that counts as full.
+func TestLinkQueue(t *testing.T) {
+	type bytes [3]int64 // in each sample of 50 ms, in which 10 Mbit/s are 62,500
+	for _, test := range []struct {
+		linkMbps       float64
+		sent, received bytes
+		want           string
+	}{
+		{0, bytes{1e9, 1e9, 1e9}, bytes{1e9, 1e9, 1e9}, "[{0 false} {0 false} {0 false} {0 false}]"},
+		{10, bytes{240_000}, bytes{}, "[{0 false} {142 true} {92 true} {42 false}]"},
+		{10, bytes{125_000}, bytes{}, "[{0 false} {50 false} {0 false} {0 false}]"},
+		{10, bytes{}, bytes{57_000, 57_000}, "[{0 false} {0 false} {0 true} {0 false}]"},
+		{10, bytes{}, bytes{55_000, 55_000, 55_000}, "[{0 false} {0 false} {0 false} {0 false}]"},
+		{10, bytes{}, bytes{200_000}, "[{0 false} {110 true} {60 true} {10 false}]"}, // read after a wait in the socket
+	} {
+		q, u, got := NewLinkQueue(Limits{LinkMbps: test.linkMbps}), Usage{}, []LinkState{}
+		for i := range 4 {
+			got = append(got, q.Record(1000+clock.Millis(i)*SampleInterval, u))
+			u.SentBytes, u.ReceivedBytes = u.SentBytes+test.sent[i%3], u.ReceivedBytes+test.received[i%3]
+		}
+		assert.Equal(t, fmt.Sprint(got), test.want)
+	}
+}
--- a/standin/emulator/simulation.go
+++ b/standin/emulator/simulation.go
@@ -190,7 +190,7 @@
 		Placed: func(*forward.Packet, forward.Decision, *catalog.Entry) {},
 		Lost:   func(*forward.Packet, *catalog.Entry) {},
 		Opened: func(clock.Millis) {}, Answered: func(clock.Millis) {},
-		Distrusted: func(clock.Millis) { vm.foundWrong = true },
+		Distrusted: func(forward.DistrustCause) { vm.foundWrong = true },
 	}))
 	vm.Engine.SetVMs(all)
 	vm.Engine.SetDomainVMs(local)
