--- a/amaranthd/entry/peers.go
+++ b/amaranthd/entry/peers.go
@@ -156,7 +156,7 @@
 		return
 	}
 	var msg gossip.Message
-	if err := cbor.Unmarshal(data, &msg); err != nil {
+	if err := gossip.DecodeMessage(data, &msg); err != nil {
 		p.invalid.Add(1)
 		return
 	}
@@ -307,7 +307,7 @@
 
 func (p *peers) send(out []gossip.Envelope) {
 	for i := range out {
-		data, err := cbor.Marshal(&out[i].Message)
+		data, err := gossip.EncodeMessage(&out[i].Message)
 		if err != nil {
 			p.invalid.Add(1)
 			continue
--- a/fleet/event/event.go
+++ b/fleet/event/event.go
@@ -77,6 +77,8 @@
 	// StoreEraInvalid when a response does not tell the era of the store.
 	StoreEraChanged ID = 6014
 	StoreEraInvalid ID = 6015
+	// VMOverloaded is logged when the reaction of a VM to its own load changes.
+	VMOverloaded ID = 6016
 )
 
 // Events of requests.
@@ -111,6 +113,7 @@
 	AdmissionChanged:   "admissionChanged",
 	StoreEraChanged:    "storeEraChanged",
 	StoreEraInvalid:    "storeEraInvalid",
+	VMOverloaded:       "vmOverloaded",
 	LinesOmitted:       "linesOmitted",
 	ConfigAccepted:     "configAccepted",
 	ConfigInvalid:      "configInvalid",
@@ -146,6 +149,7 @@
 	AdmissionChanged:   slog.LevelWarn,
 	StoreEraChanged:    slog.LevelWarn,
 	StoreEraInvalid:    slog.LevelWarn,
+	VMOverloaded:       slog.LevelWarn,
 	ItemInvalid:        slog.LevelError,
 	FlowRefused:        slog.LevelWarn,
 	FlowLost:           slog.LevelWarn,
--- a/fleet/forward/packet.go
+++ b/fleet/forward/packet.go
@@ -64,13 +64,15 @@
 	// AwaitRoom means the same, for a flow whose opening packet the caller will repeat
 	// in time.
 	AwaitRoom
+	// VMOverloaded means that the VM is near its own limits and dropped an opening.
+	VMOverloaded
 	// ReasonCount is the number of reasons, NoReason included.
 	ReasonCount
 )
 
 // String returns the reason as written to logs and metrics.
 func (r Reason) String() string {
-	return [...]string{"none", "noCatalog", "noRoute", "noUpstream", "unknownToken", "upstreamLost", "noRoom", "awaitRoom"}[r]
+	return [...]string{"none", "noCatalog", "noRoute", "noUpstream", "unknownToken", "upstreamLost", "noRoom", "awaitRoom", "vmOverloaded"}[r]
 }
 
 // Decision is what to do with a packet.
--- a/standin/emulator/simulation.go
+++ b/standin/emulator/simulation.go
@@ -210,7 +210,7 @@
 		Placed: func(*forward.Packet, forward.Decision, *catalog.Entry) {},
 		Lost:   func(*forward.Packet, *catalog.Entry) {},
 		Opened: func(clock.Millis) {}, Answered: func(clock.Millis) {},
-		Distrusted: func(clock.Millis) { vm.foundWrong = true },
+		Distrusted: func(forward.DistrustCause) { vm.foundWrong = true },
 		Admission:  func(forward.AdmissionChange) {},
 	}))
 	vm.Engine.SetVMs(all)
