Explain a decision of admission control without effects

Decide marks the class of a request as in use, may create it, and decays the pressure, so a placement query could not call it. Controller.Explain returns the verdict with the admitted share, the pressure and the limit from the same code, on a copy of the pressure.

TestExplain compares the whole state before and after and the verdicts of both forms. It fails if Explain marks the class as in use or decays the pressure of the controller (both tried).

--- a/fleet/admission/class.go
+++ b/fleet/admission/class.go
@@ -20,6 +20,9 @@
 	openedAt clock.Millis
 }
 
+// newClass returns a class whose openings are all admitted.
+func newClass(p catalog.Priority, long bool) *class { return &class{priority: p, long: long, share: 1} }
+
 // compare orders classes from the highest to the lowest.
 func (k *class) compare(other *class) int {
 	if order := cmp.Compare(k.priority, other.priority); order != 0 {
--- a/fleet/admission/controller.go
+++ b/fleet/admission/controller.go
@@ -50,29 +50,51 @@
 	defer c.mu.Unlock()
 	k := c.class(r.Priority, r.Long)
 	k.openedAt = now
+	return c.verdict(now, k, r, &c.pressure)
+}
+
+// Explain returns what Decide would decide now and the figures that it goes by. It
+// changes nothing: the class of the request does not count as in use.
+func (c *Controller) Explain(now clock.Millis, r Request) Decision {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.pressure // share decays it
+	k := newClass(r.Priority, r.Long)
+	if i, found := c.find(k); found {
+		k = c.classes[i]
+	}
+	return Decision{Verdict: c.verdict(now, k, r, &p), Share: k.share, Pressure: p.share(now), Limit: c.options.limit}
+}
+
+// verdict returns the decision on a request of class k under pressure p, which it may
+// decay. The caller must hold c.mu.
+func (c *Controller) verdict(now clock.Millis, k *class, r Request, p *pressure) Verdict {
 	switch {
 	case r.Retransmits > 0 || k.admits(r.Flow):
 		return Place
-	case c.rises(now):
-		return Wait // upstreams may have room already
+	case p.share(now) <= c.options.limit:
+		return Wait // shares rise, so upstreams may have room already
 	}
 	return Reject
 }
 
-// rises reports whether the admitted shares are rising. The caller must hold c.mu.
-func (c *Controller) rises(now clock.Millis) bool { return c.pressure.share(now) <= c.options.limit }
-
 // class returns the class of a priority and kind of flow, creating it if needed. The
 // caller must hold c.mu.
 func (c *Controller) class(p catalog.Priority, long bool) *class {
-	k := &class{priority: p, long: long, share: 1}
-	i, found := slices.BinarySearchFunc(c.classes, k, (*class).compare)
+	k := newClass(p, long)
+	i, found := c.find(k)
 	if !found {
 		c.classes = slices.Insert(c.classes, i, k)
 	}
 	return c.classes[i]
 }
 
+// find returns the index of the class that equals k, or that at which k would be
+// inserted. The caller must hold c.mu.
+func (c *Controller) find(k *class) (i int, found bool) {
+	return slices.BinarySearchFunc(c.classes, k, (*class).compare)
+}
+
 // Tick adjusts the admitted shares every 100 ms. It is to be called more often.
 func (c *Controller) Tick(now clock.Millis) {
 	c.mu.Lock()
--- a/fleet/admission/controller_test.go
+++ b/fleet/admission/controller_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"math"
+	"reflect"
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
 	"gotest.tools/v3/assert"
 
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
@@ -85,6 +87,29 @@
 	}
 }
 
+// TestExplain guards against an explanation that differs from the decision that follows,
+// and against one that changes the state: that marks a class as in use, creates it or
+// decays the pressure.
+func TestExplain(t *testing.T) {
+	state := cmp.Exporter(func(reflect.Type) bool { return true })
+	for _, quiet := range []clock.Millis{0, 400, 3000} {
+		asked, other := New(), New()
+		end := play(asked, 1000, 20_000, 1, high, long) + quiet
+		play(other, 1000, 20_000, 1, high, long)
+		for _, r := range []Request{long, short, high, {Priority: 2, Long: true, Retransmits: 1}} {
+			for r.Flow = range uint64(200) {
+				end++ // or the pressure has decayed already
+				x := asked.Explain(end, r)
+				assert.DeepEqual(t, asked, other, state)
+				assert.Equal(t, x.Verdict, asked.Decide(end, r))
+				assert.Equal(t, x.Verdict, other.Decide(end, r))
+				assert.Equal(t, x.Pressure, other.Pressure(end))
+				asked.Pressure(end) // decays it as in other
+			}
+		}
+	}
+}
+
 // TestReturnIsSpread guards against a herd of callers: when the pressure ends, or the
 // higher priority goes away, no interval may admit much more than the one before.
 func TestReturnIsSpread(t *testing.T) {
--- a/fleet/admission/request.go
+++ b/fleet/admission/request.go
@@ -12,16 +12,3 @@
 	// Retransmits is the number of times that the packet was sent before.
 	Retransmits int
 }
-
-// Verdict is the decision on a Request.
-type Verdict uint8
-
-// Verdicts.
-const (
-	// Place admits the flow.
-	Place Verdict = iota
-	// Wait drops the packet, so that a retransmission of the caller is decided anew.
-	Wait
-	// Reject resets the flow at once, before anything of it was executed.
-	Reject
-)
