Rank upstreams once per opening, and split the admission of a service

hasRoom repeated the ranking of upstreams, so that an opening that was held back and placed for want of load was ranked twice. The placement now keeps its ranking, which admission and choice share, and the statistics of the route are looked up once.

--- a/fleet/forward/admission.go
+++ b/fleet/forward/admission.go
@@ -11,45 +11,9 @@
 	"github.com/amaranthswitch/amaranthswitch/fleet/ident"
 )
 
-const (
-	// admissionReportInterval is the shortest interval between two reports of changed
-	// shares of a service.
-	admissionReportInterval = 1 * clock.Second
-	// roomQuiet is the time since the latest rejection seen from an upstream after
-	// which the upstream may have room.
-	roomQuiet clock.Millis = 200
-)
-
-// AdmissionChange is a change of the share of new flows that is admitted.
-type AdmissionChange struct {
-	Service  ident.ServiceName
-	Priority catalog.Priority
-	// Share is the admitted share of the openings of the priority, and Pressure the
-	// share of rejections among the recent answers of the service.
-	Share, Pressure float64
-}
-
-// AdmittedShare is the share of the new flows of a priority that is admitted to a
-// service.
-type AdmittedShare struct {
-	Service  ident.ServiceName
-	Priority catalog.Priority
-	Share    float64
-}
-
-// serviceAdmission is the admission of new flows to a service.
-type serviceAdmission struct {
-	priorities []catalog.Priority // of its routes, ascending
-	// controller and report are nil if the routes have one priority.
-	controller *admission.Controller
-	report     *admissionReport
-}
-
-// admissionReport is what was last reported of a service. Only Tick uses it.
-type admissionReport struct {
-	shares map[catalog.Priority]float64
-	at     clock.Millis
-}
+// roomQuiet is the time since the latest rejection seen from an upstream after which the
+// upstream may have room.
+const roomQuiet clock.Millis = 200
 
 // WithAdmission sets the options of the admission controllers.
 func WithAdmission(opts ...admission.Option) Option {
@@ -87,36 +51,53 @@
 	return list
 }
 
+// admissionController returns the controller of a service, or nil if it admits all flows.
+func (v *view) admissionController(service ident.ServiceName) *admission.Controller {
+	if a := v.admission[service]; a != nil {
+		return a.controller
+	}
+	return nil
+}
+
 // recordAdmission records whether the upstream of f rejected a request.
 func (e *Engine) recordAdmission(now clock.Millis, f *flow, rejected bool) {
 	if rejected {
 		f.target.load.rejectedAt.Store(int64(now))
 	}
-	a := e.view.Load().admission[f.target.entry.Service]
-	if priority, known := f.route.priority(); known && a != nil && a.controller != nil {
-		a.controller.Record(now, priority, rejected)
+	c := e.view.Load().admissionController(f.target.entry.Service)
+	if priority, known := f.route.priority(); known && c != nil {
+		c.Record(now, priority, rejected)
 	}
 }
 
 // admit decides whether a new flow is placed. It returns NoReason if so, and otherwise
 // the reason to drop or to refuse the opening packet.
-func (e *Engine) admit(now clock.Millis, v *view, route *catalog.Route, p *Packet, k flowKey) Reason {
-	hash := k.hash()
-	service := pickService(route, hash)
-	a := v.admission[service]
-	if a == nil || a.controller == nil {
+func (e *Engine) admit(now clock.Millis, v *view, route *catalog.Route, stat *routeStat, p *Packet, pl *placement) Reason {
+	c := v.admissionController(pl.service)
+	if c == nil {
 		return NoReason
 	}
-	stat := e.routes.get(p.Destination)
 	stat.setPriority(route.Priority)
-	long := !stat.short()
-	verdict := a.controller.Decide(now, admission.Request{
-		Priority: route.Priority, Long: long, Retransmits: p.Retransmits,
+	verdict := c.Decide(now, admissionRequest(route, p, pl))
+	if verdict == admission.Place {
+		return NoReason
+	}
+	return heldBackReason(verdict, e.hasRoom(now, pl))
+}
+
+func admissionRequest(route *catalog.Route, p *Packet, pl *placement) admission.Request {
+	return admission.Request{
+		Priority: route.Priority, Long: pl.long, Retransmits: p.Retransmits,
 		// A caller that opens another flow from the same port is judged anew.
-		Flow: hash ^ uint64(p.Seq)*0x9e3779b97f4a7c15,
-	})
+		Flow: pl.hash ^ uint64(p.Seq)*0x9e3779b97f4a7c15,
+	}
+}
+
+// heldBackReason returns the reason not to place a flow that the controller does not
+// admit. It returns NoReason if the upstream of least cost has room all the same.
+func heldBackReason(verdict admission.Verdict, room bool) Reason {
 	switch {
-	case verdict == admission.Place || e.hasRoom(now, v.serving[service], hash, long):
+	case room:
 		return NoReason
 	case verdict == admission.Wait:
 		return AwaitRoom
@@ -124,19 +105,10 @@
 	return NoRoom
 }
 
-// hasRoom reports whether the upstream of least cost has no request of this VM in
-// flight and has not rejected one of late.
-func (e *Engine) hasRoom(now clock.Millis, list []*target, hash uint64, long bool) bool {
-	var best *target
-	bestCost := math.Inf(1)
-	for i, t := range list {
-		if !t.entry.AcceptsNewFlows(now) || now < t.entry.ColdUntil || !isAnswering(t) || t.domain.avoided() {
-			continue
-		}
-		if cost := e.cost(t, long) + tieBreak(hash, i); cost < bestCost {
-			best, bestCost = t, cost
-		}
-	}
+// hasRoom reports whether the answering upstream of least cost has no request of this VM
+// in flight and has not rejected one of late.
+func (e *Engine) hasRoom(now clock.Millis, pl *placement) bool {
+	best := e.ranked(now, pl).answering.target
 	return best != nil && best.load.inFlight.Load() <= 0 && now-clock.Millis(best.load.rejectedAt.Load()) > roomQuiet
 }
 
--- a/fleet/forward/place.go
+++ b/fleet/forward/place.go
@@ -69,8 +69,10 @@
 		}
 		except = f.target
 	}
+	stat := e.routes.get(p.Destination)
+	pl := newPlacement(v, route, stat, k, except)
 	if except == nil {
-		if reason := e.admit(now, v, route, p, k); reason == AwaitRoom {
+		if reason := e.admit(now, v, route, stat, p, &pl); reason == AwaitRoom {
 			return e.drop(reason)
 		} else if reason != NoReason {
 			d = e.refuse(reason)
@@ -78,7 +80,7 @@
 			return d
 		}
 	}
-	t := e.place(now, v, route, p, k, except)
+	t, _ := e.choose(now, v, &pl, p.Retransmits == 0, &applied)
 	if t == nil {
 		t = except
 	}
@@ -88,7 +90,7 @@
 		return d
 	}
 	f.end()
-	f = flow{target: t, route: e.routes.get(p.Destination), openingSeq: p.Seq, seq: p.Seq + 1, opened: true, seenAt: now, sentAt: now}
+	f = flow{target: t, route: stat, openingSeq: p.Seq, seq: p.Seq + 1, opened: true, seenAt: now, sentAt: now}
 	f.addLoad()
 	f.beginRequest(now) // the request follows within one round trip
 	s.flows[k] = f
@@ -134,23 +136,15 @@
 	return d
 }
 
-// place chooses the upstream of a new flow, or returns nil if none other than
-// except accepts it. It takes the probe or the share of a cold upstream that the
-// flow uses up.
-func (e *Engine) place(now clock.Millis, v *view, route *catalog.Route, p *Packet, k flowKey, except *target) *target {
-	pl := newPlacement(v, route, e.routes.get(p.Destination), k, except)
-	t, _ := e.choose(now, v, &pl, p.Retransmits == 0, &applied)
-	return t
-}
-
 // choose returns the upstream of a new flow and the rule that it was chosen by, or nil
-// if no upstream accepts the flow. It returns the best cold upstream if that is cheaper
+// if no upstream other than pl.except accepts the flow. It takes the probe or the share
+// of a cold upstream that the flow uses up, unless fx is simulated. It returns the best cold upstream if that is cheaper
 // than the best answering one and its rate permits, otherwise the best answering
 // upstream. Silent upstreams get a probing flow from time to time if probing is set, and
 // if no other upstream is left, the flow goes to a silent one nevertheless (panic
 // threshold).
 func (e *Engine) choose(now clock.Millis, v *view, pl *placement, probing bool, fx *effects) (*target, Rule) {
-	r := e.rank(now, pl)
+	r := e.ranked(now, pl)
 	if r.probeDue && probing {
 		if t := e.probe(now, pl, fx); t != nil {
 			return t, RuleProbe
--- a/fleet/forward/placement.go
+++ b/fleet/forward/placement.go
@@ -6,8 +6,8 @@
 	"github.com/amaranthswitch/amaranthswitch/fleet/ident"
 )
 
-// placement is what the placement of a new flow depends on, apart from the state of the
-// upstreams.
+// placement is what the placement of a new flow depends on, with the ranking of the
+// upstreams once it is known.
 type placement struct {
 	hash    uint64
 	service ident.ServiceName
@@ -17,6 +17,10 @@
 	long bool
 	// except is the upstream that must not get the flow, or nil.
 	except *target
+	// ranking is that of the upstreams if hasRanking is set. The admission and the choice of
+	// the upstream share it, see Engine.ranked.
+	ranking    ranking
+	hasRanking bool
 }
 
 // newPlacement returns the placement of flow k on a route with the given statistics. stat
--- a/fleet/forward/ranking.go
+++ b/fleet/forward/ranking.go
@@ -12,6 +12,14 @@
 	probeDue bool
 }
 
+// ranked returns the ranking of the upstreams for pl, which is computed at most once.
+func (e *Engine) ranked(now clock.Millis, pl *placement) *ranking {
+	if !pl.hasRanking {
+		pl.ranking, pl.hasRanking = e.rank(now, pl), true
+	}
+	return &pl.ranking
+}
+
 // rank ranks the upstreams that a new flow may go to. It changes nothing.
 func (e *Engine) rank(now clock.Millis, pl *placement) (r ranking) {
 	for i, t := range pl.upstreams {
