Explain admission and the quality of candidates

Explain left out admission control, so it named an upstream for flows that Handle refuses or drops, and its cost could not be followed since slowness and rejections were missing. Candidates have slowness, ownRejections and excessRejections, which upstreamQuality now keeps as shares besides their cost.

--- a/fleet/forward/explainedcandidate.go
+++ b/fleet/forward/explainedcandidate.go
@@ -13,8 +13,16 @@
 	Address netip.AddrPort     `json:"address"`
 	Domain  ident.DomainName   `json:"domain"`
 	// Cost is in requests in flight per slot, the penalty for another failure domain
-	// and a tie break below 0.001 included.
+	// and a tie break below 0.001 included. Slowness and rejections add to it.
 	Cost float64 `json:"cost"`
+	// Slowness is the time of answers relative to other upstreams, from 1 to 10.
+	Slowness float64 `json:"slowness"`
+	// OwnRejections is the share of this VM's recent requests that the upstream rejected,
+	// and ExcessRejections the share of all known requests above 1.5 times the mean share
+	// in the service, both from 0 to 1. An upstream with excess rejections costs as if it
+	// had at least the mean load of the service.
+	OwnRejections    float64 `json:"ownRejections"`
+	ExcessRejections float64 `json:"excessRejections"`
 	// InFlight and Expected are the load over all VMs, as known to this one, in
 	// requests in flight: those now, and those that the open flows are expected to cause.
 	InFlight float64 `json:"inFlight"`
--- a/fleet/forward/explanation.go
+++ b/fleet/forward/explanation.go
@@ -20,6 +20,8 @@
 	Service ident.ServiceName `json:"service"`
 	// Long is set if the flow is expected to carry many requests.
 	Long bool `json:"long"`
+	// Admission tells whether the flow would be admitted.
+	Admission ExplainedAdmission `json:"admission"`
 	// Upstream is the chosen upstream, and Rule why it was chosen. Both are empty if the
 	// flow would not be forwarded.
 	Upstream catalog.UpstreamID `json:"upstream"`
--- a/fleet/forward/upstreamquality.go
+++ b/fleet/forward/upstreamquality.go
@@ -45,6 +45,9 @@
 	// excess is the slowness less 1, and rejected the cost of the rejections, as the bits
 	// of a float32. Tick updates them, so that cost needs no exponentials.
 	excess, rejected atomic.Uint32
+	// ownShare and excessShare are the shares of rejections that rejected consists of, as
+	// the bits of a float32.
+	ownShare, excessShare atomic.Uint32
 	// minLoad is the load per slot that the upstream counts as having, nil if it does not
 	// reject more than others. One that rejects at once has no load of its own.
 	minLoad atomic.Pointer[Load]
@@ -101,14 +104,21 @@
 
 // weighRejections returns the cost of the rejections.
 func (q *upstreamQuality) weighRejections(s *serviceQuality) float64 {
-	cost := rejectionPenalty * q.ownRejected
-	excess := q.merged.RejectedShare() - usualRejections*s.rejectedShare
-	if excess <= 0 {
+	excess := max(0, q.merged.RejectedShare()-usualRejections*s.rejectedShare)
+	q.ownShare.Store(math.Float32bits(float32(q.ownRejected)))
+	q.excessShare.Store(math.Float32bits(float32(excess)))
+	if excess == 0 {
 		q.minLoad.Store(nil)
-		return cost
+	} else {
+		q.minLoad.Store(s.load)
 	}
-	q.minLoad.Store(s.load)
-	return cost + excessPenalty*excess
+	return rejectionPenalty*q.ownRejected + excessPenalty*excess
+}
+
+// rejections returns the share of the recent requests of this VM that the upstream
+// rejected, and the share above what is usual in the service.
+func (q *upstreamQuality) rejections() (own, excess float64) {
+	return float64(math.Float32frombits(q.ownShare.Load())), float64(math.Float32frombits(q.excessShare.Load()))
 }
 
 // slowness returns the time of answers relative to other upstreams.
