Show admission, slowness and rejections in amaranthctl where

The command prints a line with the decision of admission control and its figures, none for a VM of an earlier version, and three more columns.

--- a/amaranthctl/where_test.go
+++ b/amaranthctl/where_test.go
@@ -11,9 +11,10 @@
 )
 
 const testAnswer = `{"vm":"v1","domain":"a","version":7,"revision":20,"copyAgeMillis":94,"to":"198.51.100.1:443","from":"192.0.2.1:1024",
-"fromAssumed":true,"placement":{"action":"forward","reason":"none","route":"feed","priority":2,"service":"web","upstream":"i-2","rule":"lowestCost",
+"fromAssumed":true,"placement":{"action":"forward","reason":"none","route":"feed","priority":2,"service":"web",
+"admission":{"controlled":true,"share":0.05,"pressure":0.31,"limit":0.25,"verdict":"reject","roomOverrides":true},"upstream":"i-2","rule":"lowestCost",
 "candidates":[{"id":"i-1","address":"10.0.0.1:80","domain":"a","class":"answering","health":"answering","closed":"draining"},
-{"id":"i-2","address":"10.0.0.2:80","domain":"a","cost":0.5,"class":"answering","health":"answering","accepts":true}]}}`
+{"id":"i-2","address":"10.0.0.2:80","domain":"a","cost":0.5,"slots":2,"slowness":1.69,"ownRejections":0.2,"excessRejections":0.1,"class":"answering","health":"answering","accepts":true}]}}`
 
 // TestWhere guards against a query of another flow than the one named, and against
 // failures that are taken for answers.
@@ -34,6 +35,8 @@
 	}{
 		{"--route feed " + vm, "forward to i-2 (lowest cost of those that answer)", false},
 		{"--route feed " + vm, "tie break", false},
+		{"--route feed " + vm, "reject, but placed since the upstream of lowest cost has room (share 0.05 of such flows is admitted, pressure 0.31, limit 0.25)", false},
+		{"--route feed " + vm, "2      1.69      0.20            0.10               answering", false},
 		{"--route feed " + vm, "no: draining", false},
 		{vm + " --to 198.51.100.1:443 --from 100.64.0.1:9", "revision 20, copy confirmed 94 ms ago", false},
 		{"--route none " + vm, "404 Not Found: no route", true},
--- a/amaranthctl/whereanswer.go
+++ b/amaranthctl/whereanswer.go
@@ -46,13 +46,18 @@
 	if p.Long {
 		length = "many requests"
 	}
-	fmt.Fprintf(w, "route %s, priority %d, service %s, %s expected\n\n", p.Route, p.Priority, p.Service, length)
+	fmt.Fprintf(w, "route %s, priority %d, service %s, %s expected\n", p.Route, p.Priority, p.Service, length)
+	if text := admissionText(&p.Admission); text != "" {
+		fmt.Fprintln(w, "admission:", text)
+	}
+	fmt.Fprintln(w)
 	tw := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
-	fmt.Fprintln(tw, "UPSTREAM\tADDRESS\tDOMAIN\tCOST\tIN FLIGHT\tEXPECTED\tSLOTS\tHEALTH\tCLASS\tNEW FLOWS")
+	fmt.Fprintln(tw, "UPSTREAM\tADDRESS\tDOMAIN\tCOST\tIN FLIGHT\tEXPECTED\tSLOTS\tSLOWNESS\tOWN REJECTIONS\tEXCESS REJECTIONS\tHEALTH\tCLASS\tNEW FLOWS")
 	for i := range p.Candidates {
 		c := &p.Candidates[i]
-		fmt.Fprintf(tw, "%s\t%s\t%s\t%.4f\t%.2f\t%.2f\t%d\t%s\t%s\t%s\n",
-			c.ID, c.Address, c.Domain, c.Cost, c.InFlight, c.Expected, c.Slots, c.Health, c.Class, newFlowsText(c, p))
+		fmt.Fprintf(tw, "%s\t%s\t%s\t%.4f\t%.2f\t%.2f\t%d\t%.2f\t%.2f\t%.2f\t%s\t%s\t%s\n",
+			c.ID, c.Address, c.Domain, c.Cost, c.InFlight, c.Expected, c.Slots,
+			c.Slowness, c.OwnRejections, c.ExcessRejections, c.Health, c.Class, newFlowsText(c, p))
 	}
 	return tw.Flush()
 }
@@ -69,6 +74,23 @@
 	return fmt.Sprintf("%s to %s (%s)", p.Action, p.Upstream, text)
 }
 
+// admissionText describes the decision of the admission control with the figures that
+// decided. It is empty if the flow has no route, or if an earlier version of the VM tells
+// nothing about it.
+func admissionText(x *forward.ExplainedAdmission) string {
+	if x.Verdict == "" {
+		return ""
+	}
+	if !x.Controlled {
+		return "all flows are placed, since the routes of the service have one priority"
+	}
+	text := x.Verdict
+	if x.RoomOverrides {
+		text += ", but placed since the upstream of lowest cost has room"
+	}
+	return fmt.Sprintf("%s (share %.2f of such flows is admitted, pressure %.2f, limit %.2f)", text, x.Share, x.Pressure, x.Limit)
+}
+
 // newFlowsText describes whether a candidate gets new flows.
 func newFlowsText(c *forward.ExplainedCandidate, p *forward.Explanation) string {
 	switch {
