--- a/amaranthd/entry/overload_test.go
+++ b/amaranthd/entry/overload_test.go
@@ -20,7 +20,8 @@
 )
 
 // TestOverloadedVM guards against a VM at its limit that drops more than it should or tells
-// nobody, that leaves service beside another that has left it or alone, that trusts its evidence, and against this without limits.
+// nobody, that leaves service alone or beside another that has left it, or that trusts
+// its evidence, and against any of this without limits.
 func TestOverloadedVM(t *testing.T) {
 	first, second, local := netip.MustParseAddrPort("10.0.0.1:1"), netip.MustParseAddrPort("10.0.0.2:1"), netip.MustParseAddrPort("127.0.0.1:0")
 	for _, test := range []struct {
--- a/fleet/forward/explainedadmission.go
+++ b/fleet/forward/explainedadmission.go
@@ -14,7 +14,8 @@
 	Pressure float64 `json:"pressure"`
 	Limit    float64 `json:"limit"`
 	// Verdict is that on the sequence number of the given packet. Flows of a class whose
-	// Share is below 1 get different ones. It is "place", "wait" for the caller's retransmission, or "reject".
+	// Share is below 1 get different ones. It is "place", "wait" for the caller's
+	// retransmission, or "reject".
 	Verdict string `json:"verdict"`
 	// RoomOverrides is set if the flow is placed in spite of another verdict, since the
 	// upstream of least cost has room.
--- a/fleet/forward/place.go
+++ b/fleet/forward/place.go
@@ -138,11 +138,11 @@
 
 // choose returns the upstream of a new flow and the rule that it was chosen by, or nil
 // if no upstream other than pl.except accepts the flow. It takes the probe or the share
-// of a cold upstream that the flow uses up, unless fx is simulated. It returns the best cold upstream if that is cheaper
-// than the best answering one and its rate permits, otherwise the best answering
-// upstream. Silent upstreams get a probing flow from time to time if probing is set, and
-// if no other upstream is left, the flow goes to a silent one nevertheless (panic
-// threshold).
+// of a cold upstream that the flow uses up, unless fx is simulated. It returns the best
+// cold upstream if that is cheaper than the best answering one and its rate permits,
+// otherwise the best answering upstream. Silent upstreams get a probing flow from time
+// to time if probing is set, and if no other upstream is left, the flow goes to a silent
+// one nevertheless (panic threshold).
 func (e *Engine) choose(now clock.Millis, v *view, pl *placement, probing bool, fx *effects) (*target, Rule) {
 	r := e.ranked(now, pl)
 	if r.probeDue && probing {
--- a/fleet/quality/sample_test.go
+++ b/fleet/quality/sample_test.go
@@ -14,8 +14,8 @@
 // and against slow ones that go unnoticed or that stay out of use after they recovered.
 func TestSlowness(t *testing.T) {
 	for name, tt := range map[string]struct {
-		answers     []Answer
-		plain, calm float64 // Slowness and SignificantSlowness
+		answers            []Answer
+		plain, significant float64 // Slowness and SignificantSlowness
 	}{
 		"one of seven times": {[]Answer{{LogSlowness: math.Log(7)}}, 2.651, 1},
 		"a long tail":        {append(slices.Repeat([]Answer{{}}, 97), slices.Repeat([]Answer{{LogSlowness: math.Log(7)}}, 3)...), 1.059, 1},
@@ -35,7 +35,7 @@
 			}
 			s := u.Sample(1000)
 			assert.Assert(t, s.Valid() && parts.Valid() && parts.Rejections == s.Rejections && math.Abs(parts.Slowness()-s.Slowness()) < 0.05)
-			assert.Assert(t, math.Abs(s.Slowness()-tt.plain) < 0.001 && math.Abs(s.SignificantSlowness()-tt.calm) < 0.001, "%v %v", s.Slowness(), s.SignificantSlowness())
+			assert.Assert(t, math.Abs(s.Slowness()-tt.plain) < 0.001 && math.Abs(s.SignificantSlowness()-tt.significant) < 0.001, "%v %v", s.Slowness(), s.SignificantSlowness())
 			for now, last := clock.Millis(1000), math.Inf(1); now <= 16_000; now += 250 {
 				cost := u.Sample(now).Slowness() + u.Sample(now).RejectedShare()
 				assert.Assert(t, cost <= last+0.01 && last-cost < 2 || math.IsInf(last, 1))
