Decay samples in one place

Cause: quality, pressure and demand of admission and the meter of a VM each computed the same exponential decay. Change: fleet/internal/decay holds it, and the pressure is a mean of it.

--- a/fleet/admission/demand.go
+++ b/fleet/admission/demand.go
@@ -2,11 +2,11 @@
 
 import (
 	"maps"
-	"math"
 	"slices"
 
 	"github.com/amaranthswitch/amaranthswitch/fleet/catalog"
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
+	"github.com/amaranthswitch/amaranthswitch/fleet/internal/decay"
 )
 
 const (
@@ -27,7 +27,7 @@
 	if now <= d.at {
 		return
 	}
-	factor := math.Exp2(-float64(now-d.at) / float64(demandHalfLife))
+	factor := decay.Factor(now-d.at, demandHalfLife)
 	for p := range d.answers {
 		d.answers[p] *= factor
 	}
--- a/fleet/admission/pressure.go
+++ b/fleet/admission/pressure.go
@@ -1,9 +1,8 @@
 package admission
 
 import (
-	"math"
-
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
+	"github.com/amaranthswitch/amaranthswitch/fleet/internal/decay"
 )
 
 const (
@@ -15,28 +14,13 @@
 )
 
 // pressure is the share of rejections among the recent answers of a service.
-type pressure struct {
-	answers, rejections float64 // weights
-	at                  clock.Millis
-}
-
-func (p *pressure) decayTo(now clock.Millis) {
-	if now <= p.at {
-		return
-	}
-	factor := math.Exp2(-float64(now-p.at) / float64(pressureHalfLife))
-	p.answers, p.rejections, p.at = p.answers*factor, p.rejections*factor, now
-}
+type pressure struct{ answers decay.Mean }
 
 func (p *pressure) record(now clock.Millis, rejected bool) {
-	p.decayTo(now)
-	p.answers++
-	if rejected {
-		p.rejections++
-	}
+	p.answers.Add(now, float64(asInt(rejected)), pressureHalfLife)
 }
 
 func (p *pressure) share(now clock.Millis) float64 {
-	p.decayTo(now)
-	return p.rejections / (p.answers + priorAccepted)
+	p.answers.DecayTo(now, pressureHalfLife)
+	return p.answers.Sum / (p.answers.Weight + priorAccepted)
 }
--- /dev/null
+++ b/fleet/internal/decay/doc.go
@@ -0,0 +1,3 @@
+// Package decay holds sums and means whose samples lose weight exponentially with their
+// age.
+package decay
--- a/fleet/quality/route.go
+++ b/fleet/quality/route.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
+	"github.com/amaranthswitch/amaranthswitch/fleet/internal/decay"
 )
 
 const (
@@ -28,7 +29,7 @@
 	logSize float64
 	usualAt clock.Millis // when the last answer that was no rejection came
 	// time is the mean of the logarithm of the time of answers in milliseconds.
-	time decayingMean
+	time decay.Mean
 }
 
 // Answer is what an answer tells about its upstream.
@@ -55,8 +56,8 @@
 	r.usualAt = now
 	r.logSize += sizeSmoothing * (logSize - r.logSize)
 	logTime := math.Log(float64(max(1, took)))
-	r.time.add(now, logTime, routeHalfLife)
-	return Answer{LogSlowness: logTime - r.time.mean()}
+	r.time.Add(now, logTime, routeHalfLife)
+	return Answer{LogSlowness: logTime - r.time.Mean()}
 }
 
 // RecentTime returns the geometric mean of the recent times of answers, 0 if there are
@@ -64,8 +65,8 @@
 func (r *Route) RecentTime() clock.Millis {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.time.weight == 0 {
+	if r.time.Weight == 0 {
 		return 0
 	}
-	return clock.Millis(math.Round(math.Exp(r.time.mean())))
+	return clock.Millis(math.Round(math.Exp(r.time.Mean())))
 }
--- a/fleet/quality/upstream.go
+++ b/fleet/quality/upstream.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
+	"github.com/amaranthswitch/amaranthswitch/fleet/internal/decay"
 )
 
 // upstreamHalfLife is the half-life of the answers in an Upstream.
@@ -16,7 +17,7 @@
 	mu sync.Mutex
 	// logSlowness holds Answer.LogSlowness of the accepted requests, and rejected 1 for
 	// each rejection.
-	logSlowness, rejected decayingMean
+	logSlowness, rejected decay.Mean
 }
 
 // Record adds an answer. Its slowness counts within minSlowness and maxSlowness, so that
@@ -25,22 +26,22 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if a.Rejected {
-		u.rejected.add(now, 1, upstreamHalfLife)
+		u.rejected.Add(now, 1, upstreamHalfLife)
 		return
 	}
-	u.logSlowness.add(now, min(maxLogSlowness, max(minLogSlowness, a.LogSlowness)), upstreamHalfLife)
+	u.logSlowness.Add(now, min(maxLogSlowness, max(minLogSlowness, a.LogSlowness)), upstreamHalfLife)
 }
 
 // Sample returns the recent answers. It is zero if there are none or all have decayed.
 func (u *Upstream) Sample(now clock.Millis) Sample {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.logSlowness.decayTo(now, upstreamHalfLife)
-	u.rejected.decayTo(now, upstreamHalfLife)
-	accepted, rejected := toUnits(u.logSlowness.weight), toUnits(u.rejected.weight)
+	u.logSlowness.DecayTo(now, upstreamHalfLife)
+	u.rejected.DecayTo(now, upstreamHalfLife)
+	accepted, rejected := toUnits(u.logSlowness.Weight), toUnits(u.rejected.Weight)
 	s := Sample{Answers: accepted + rejected, Rejections: rejected}
 	if accepted > 0 {
-		s.LogSum = toUnits(u.logSlowness.sum)
+		s.LogSum = toUnits(u.logSlowness.Sum)
 	}
 	return s
 }
--- a/fleet/vmload/meter.go
+++ b/fleet/vmload/meter.go
@@ -1,10 +1,10 @@
 package vmload
 
 import (
-	"math"
 	"time"
 
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
+	"github.com/amaranthswitch/amaranthswitch/fleet/internal/decay"
 )
 
 const (
@@ -48,7 +48,7 @@
 		// Links are full duplex, so the busier direction counts.
 		bytes := max(u.ReceivedBytes-m.last.ReceivedBytes, u.SentBytes-m.last.SentBytes)
 		used := float64(u.Processor-m.last.Processor) / float64(time.Millisecond)
-		weight := 1 - math.Exp2(-elapsed/float64(halfLife))
+		weight := 1 - decay.Factor(now-m.at, halfLife)
 		m.link += weight * (share(8*float64(bytes)/elapsed, m.limits.LinkMbps*bitsPerMilli) - m.link)
 		m.processing += weight * (share(used/elapsed, m.limits.Cores) - m.processing)
 	}
