Remove the targets and timeouts of routes, which nothing reads

Cause: admission no longer weighs whether an answer can still be on time, since openings that waited mostly waited in vain; the fields of the route, the recent time of a route's answers and a parameter of the replays stayed behind. TestOverload keeps its seeds, loads and bounds; its two targets had decided nothing but the seed.

--- a/fleet/catalog/types.go
+++ b/fleet/catalog/types.go
@@ -44,9 +44,6 @@
 	Targets []Target
 	// Priority ranks the requests of the route when room is scarce. 0 is the highest.
 	Priority Priority
-	// LatencyTarget is the time in which an answer is on time, and Timeout the time
-	// after which the caller no longer waits for it. Both are 0 if unknown.
-	LatencyTarget, Timeout clock.Millis
 }
 
 // Priority is the priority of a route. 0 is the highest.
--- a/fleet/quality/route.go
+++ b/fleet/quality/route.go
@@ -59,14 +59,3 @@
 	r.time.Add(now, logTime, routeHalfLife)
 	return Answer{LogSlowness: logTime - r.time.Mean()}
 }
-
-// RecentTime returns the geometric mean of the recent times of answers, 0 if there are
-// none.
-func (r *Route) RecentTime() clock.Millis {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.time.Weight == 0 {
-		return 0
-	}
-	return clock.Millis(math.Round(math.Exp(r.time.Mean())))
-}
--- a/standin/emulator/admission_test.go
+++ b/standin/emulator/admission_test.go
@@ -32,10 +32,10 @@
 // replay plays the usual loads of a small site, for 6 s factor times as many callers of
 // all kinds, and later for 5 s as many of the long-lived kind alone. The short-lived kind
 // has priority 1.
-func replay(seed uint64, long catalog.Priority, target clock.Millis, factor int, disturb func(*Simulation), opts ...admission.Option) (o overload) {
+func replay(seed uint64, long catalog.Priority, factor int, disturb func(*Simulation), opts ...admission.Option) (o overload) {
 	s := smallFleet(seed)
 	s.Priorities = map[netip.AddrPort]catalog.Priority{ShortLivedAddress: 1, LongLivedAddress: long}
-	s.LatencyTarget, s.Admission = target, opts
+	s.Admission = opts
 	o.Simulation = New(s)
 	kinds := make(map[bool][]*Load)
 	start := func(factor int, until clock.Millis, makers ...func(ident.DomainName) *Load) {
@@ -72,9 +72,9 @@
 			sim.At(14_000, sim.Heal)
 		},
 	} {
-		for i, target := range []clock.Millis{400, 250} {
-			without, with := replay(uint64(i), 2, target, 6, disturb, admission.WithGain(0)), replay(uint64(i), 2, target, 6, disturb)
-			t.Logf("%s, target %d ms\nwithout: %s\nwith:    %s", name, target, &without, &with)
+		for seed := range uint64(2) {
+			without, with := replay(seed, 2, 6, disturb, admission.WithGain(0)), replay(seed, 2, 6, disturb)
+			t.Logf("%s, seed %d\nwithout: %s\nwith:    %s", name, seed, &without, &with)
 			assert.Assert(t, servedShare(with.high) > 0.95 && with.worth() > without.worth())
 			assert.Assert(t, servedShare(with.low) > 0.8, "the lower priority starves")
 			assert.Assert(t, 2*with.shed < without.shed)
@@ -87,7 +87,7 @@
 // have one priority, or where there is room enough.
 func TestSameWithoutPriorities(t *testing.T) {
 	for long, factor := range map[catalog.Priority]int{1: 6, 2: 2} {
-		without, with := replay(1, long, 400, factor, func(*Simulation) {}, admission.WithGain(0)), replay(1, long, 400, factor, func(*Simulation) {})
+		without, with := replay(1, long, factor, func(*Simulation) {}, admission.WithGain(0)), replay(1, long, factor, func(*Simulation) {})
 		assert.Equal(t, without.String(), with.String())
 	}
 }
--- a/standin/emulator/simulation.go
+++ b/standin/emulator/simulation.go
@@ -68,10 +68,8 @@
 	// LateShare is the share of packets that are late, by up to MaxLateness.
 	LateShare   float64
 	MaxLateness clock.Millis
-	// Priorities holds the priorities of the routes, and LatencyTarget the latency
-	// target of both.
-	Priorities    map[netip.AddrPort]catalog.Priority
-	LatencyTarget clock.Millis
+	// Priorities holds the priorities of the routes.
+	Priorities map[netip.AddrPort]catalog.Priority
 	// Admission configures the admission controllers of all engines.
 	Admission []admission.Option
 }
@@ -318,7 +316,7 @@
 func (sim *Simulation) route(address netip.AddrPort) catalog.Route {
 	return catalog.Route{
 		Address: address, Targets: []catalog.Target{{Service: ServiceName, Weight: 1}},
-		Priority: sim.setup.Priorities[address], LatencyTarget: sim.setup.LatencyTarget,
+		Priority: sim.setup.Priorities[address],
 	}
 }
 
