--- a/review/drill/groups.go
+++ b/review/drill/groups.go
@@ -50,7 +50,7 @@
 		if err != nil {
 			return 0, err
 		}
-		wg.Go(func() { c.steady(traffic, groupsInterval) })
+		wg.Go(func() { c.steady(traffic, dispatchAddr, groupsInterval) })
 	}
 	sleep(ctx, 3*time.Second)
 	if trouble {
--- a/review/drill/moved.go
+++ b/review/drill/moved.go
@@ -62,7 +62,7 @@
 		if err != nil {
 			return 0, err
 		}
-		wg.Go(func() { c.steady(traffic, 50*time.Millisecond) })
+		wg.Go(func() { c.steady(traffic, dispatchAddr, 50*time.Millisecond) })
 	}
 	sleep(ctx, 4*time.Second)
 
--- a/review/drill/restart.go
+++ b/review/drill/restart.go
@@ -57,7 +57,7 @@
 		if err != nil {
 			return 0, err
 		}
-		wg.Go(func() { c.steady(traffic, ordersInterval) })
+		wg.Go(func() { c.steady(traffic, dispatchAddr, ordersInterval) })
 	}
 	sleep(ctx, 6*time.Second)
 
--- a/review/drill/rollback.go
+++ b/review/drill/rollback.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"sync"
 	"time"
 )
@@ -57,7 +58,7 @@
 			stop()
 			return 0, err
 		}
-		wg.Go(func() { c.steady(traffic, 50*time.Millisecond) })
+		wg.Go(func() { c.steady(traffic, dispatchAddr, 50*time.Millisecond) })
 	}
 	sleep(ctx, 4*time.Second)
 
@@ -112,12 +113,12 @@
 	return b
 }
 
-// steady sends a request on a flow of its own every interval until ctx ends.
-func (c *caller) steady(ctx context.Context, interval time.Duration) {
+// steady sends a request to a service on a flow of its own every interval until ctx ends.
+func (c *caller) steady(ctx context.Context, service netip.AddrPort, interval time.Duration) {
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	for n := 0; ctx.Err() == nil; n++ {
-		wg.Go(func() { _ = c.once(dispatchAddr, fmt.Sprintf("order-%s-%d", c.domain, n), 3*time.Second) })
+		wg.Go(func() { _ = c.once(service, fmt.Sprintf("order-%s-%d", c.domain, n), 3*time.Second) })
 		sleep(ctx, interval)
 	}
 }
--- a/review/drill/takeback.go
+++ b/review/drill/takeback.go
@@ -56,7 +56,7 @@
 		if err != nil {
 			return 0, err
 		}
-		wg.Go(func() { c.steady(traffic, ordersInterval) })
+		wg.Go(func() { c.steady(traffic, dispatchAddr, ordersInterval) })
 	}
 	sleep(ctx, 4*time.Second)
 	f.store.Put("op/evacuate/derby", map[string]any{})
