--- a/review/drill/main.go
+++ b/review/drill/main.go
@@ -30,6 +30,7 @@
 	"restart":  restartDrill,
 	"moved":    movedDrill,
 	"takeback": takebackDrill,
+	"silent":   silentDrill,
 	"groups":   groupsDrill,
 	"token":    tokenDrill,
 }
--- a/review/drill/takeback.go
+++ b/review/drill/takeback.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/amaranthswitch/amaranthswitch/standin/store"
 )
 
 const (
@@ -21,11 +23,64 @@
 // confirmation of the take-back all processes are killed, and started again. The drill
 // counts the seconds in which a cold upstream gets more flows than it bears.
 func takebackDrill(ctx context.Context, r *recorder, trouble bool) (breaks int, err error) {
+	return takeBack(ctx, r, warmupTime, func(f *fleet) (published time.Duration, err error) {
+		if trouble {
+			err = f.restartAll(ctx)
+		}
+		return heartbeatMillis*time.Millisecond - coldBefore, err
+	})
+}
+
+// silentDrill does so, but no process ends. Instead the store is silent after the take-back,
+// so that the upstreams can't write to it, and they are cold for a longer time.
+func silentDrill(ctx context.Context, r *recorder, trouble bool) (breaks int, err error) {
+	return takeBack(ctx, r, silentWarmup, func(f *fleet) (published time.Duration, err error) {
+		if !trouble {
+			return heartbeatMillis*time.Millisecond - coldBefore, nil
+		}
+		f.store.SetFault("", store.Fault{Hang: true})
+		r.add("the store is silent")
+		time.AfterFunc(silentTime, func() {
+			f.store.SetFault("", store.Fault{})
+			r.add("the store answers again")
+		})
+		return silentTime + 100*time.Millisecond, nil
+	})
+}
+
+const (
+	// silentTime is the time for which the store is silent, and silentWarmup that for which
+	// upstreams are cold.
+	silentTime   = 5 * time.Second
+	silentWarmup = 10 * time.Second
+)
+
+// restartAll kills all processes and starts them again.
+func (f *fleet) restartAll(ctx context.Context) error {
+	for _, v := range f.vms {
+		v.kill()
+	}
+	f.record.add("all processes are killed")
+	sleep(ctx, restartDelay)
+	for _, v := range f.vms {
+		if err := v.start(); err != nil {
+			return err
+		}
+	}
+	f.record.add("all processes are started again")
+	return nil
+}
+
+// takeBack takes a failure domain out of service and back, and calls disrupt right after
+// that. disrupt returns the time after which the upstreams, which became cold just before,
+// first write to the store that they are cold.
+func takeBack(ctx context.Context, r *recorder, warmup time.Duration, disrupt func(f *fleet) (time.Duration, error)) (breaks int, err error) {
 	f, err := newFleet(ctx, r, "burton", "derby")
 	if err != nil {
 		return 0, err
 	}
 	defer f.close()
+	f.warmup = warmup
 	f.configure(1, warmupPerSecond)
 	var returned []*upstream
 	for i, domain := range []string{"burton", "burton", "burton", "derby", "derby"} {
@@ -73,31 +128,24 @@
 	sleep(ctx, coldBefore)
 	f.store.Remove("op/evacuate/derby")
 	r.add("the store has confirmed: derby is taken back")
-	if trouble {
-		for _, v := range f.vms {
-			v.kill()
-		}
-		r.add("all processes are killed")
-		sleep(ctx, restartDelay)
-		for _, v := range f.vms {
-			if err = v.start(); err != nil {
-				return 0, err
-			}
-		}
-		r.add("all processes are started again")
+	publishAt := time.Now()
+	wait, err := disrupt(f)
+	if err != nil {
+		return 0, err
 	}
-	// The upstreams write to the store at the heartbeat, until they are warm.
-	for ctx.Err() == nil && time.Since(cold) < warmupTime+heartbeatMillis*time.Millisecond {
-		sleep(ctx, heartbeatMillis*time.Millisecond-coldBefore)
+	publishAt = publishAt.Add(wait)
+	for ctx.Err() == nil && time.Since(cold) < warmup+heartbeatMillis*time.Millisecond {
+		sleep(ctx, time.Until(publishAt))
 		for _, u := range returned {
-			u.publish("ready", time.Until(cold.Add(warmupTime)))
+			u.publish("ready", time.Until(cold.Add(warmup)))
 		}
+		publishAt = publishAt.Add(heartbeatMillis * time.Millisecond)
 	}
 	sleep(ctx, 2*time.Second)
 	stop()
 	wg.Wait()
 	for _, u := range returned {
-		breaks += countOverloads(r, u, cold)
+		breaks += countOverloadsAt(r, u, cold, warmup, warmupPerSecond)
 	}
 	return breaks, ctx.Err()
 }
