forward: reset open flows by the evidence about their own upstream alone

Cause: three stalls of two upstreams made a whole failure domain lost to open flows, and a lost datagram is a stall. So the crash of one upstream and one lost datagram of another one were taken for the loss of all.

Change: isLost asks only the upstream of the flow. The schedule of probes, which both kinds of health had, is a type.

Why it works: one dead upstream explains any number of stalls of its own and none of others.

--- a/fleet/forward/effects.go
+++ b/fleet/forward/effects.go
@@ -4,14 +4,20 @@
 
 // effects are the steps of a placement that use something up.
 type effects struct {
-	// takeProbe reports whether a probing flow is due, and schedules the next one.
-	takeProbe func(h *health, now clock.Millis) bool
+	// takeProbe and takeDomainProbe report whether a probing flow is due, and schedule
+	// the next one.
+	takeProbe       func(h *health, now clock.Millis) bool
+	takeDomainProbe func(d *domainHealth, now clock.Millis) bool
 	// admitCold reports whether a cold upstream may get one more flow, and counts it.
 	admitCold func(l *upstreamLoad, now clock.Millis, rate float64, placers int) bool
 }
 
 var (
-	applied = effects{takeProbe: (*health).takeProbe, admitCold: (*upstreamLoad).admitCold}
+	applied = effects{
+		takeProbe: (*health).takeProbe, takeDomainProbe: (*domainHealth).takeProbe, admitCold: (*upstreamLoad).admitCold,
+	}
 	// simulated decides in the same way as applied, but changes nothing.
-	simulated = effects{takeProbe: (*health).probeDue, admitCold: (*upstreamLoad).wouldAdmitCold}
+	simulated = effects{
+		takeProbe: (*health).probeDue, takeDomainProbe: (*domainHealth).probeDue, admitCold: (*upstreamLoad).wouldAdmitCold,
+	}
 )
--- a/fleet/forward/engine.go
+++ b/fleet/forward/engine.go
@@ -15,7 +15,7 @@
 type target struct {
 	entry  *catalog.Entry
 	load   *upstreamLoad
-	domain *health
+	domain *domainHealth
 }
 
 // view is the current catalog with the load of each upstream.
@@ -83,7 +83,7 @@
 
 	mu      sync.Mutex // guards the fields below and stores to view
 	loads   map[loadKey]*upstreamLoad
-	domains map[ident.DomainName]*health
+	domains map[ident.DomainName]*domainHealth
 	// suspects are the upstreams with evidence of failure.
 	suspects  map[catalog.Token]*target
 	lostLoads []*upstreamLoad // lost upstreams whose stalled flows are not reset yet
@@ -116,7 +116,7 @@
 		policy:   DefaultPolicy(),
 		flows:    newFlowTable(),
 		loads:    make(map[loadKey]*upstreamLoad),
-		domains:  make(map[ident.DomainName]*health),
+		domains:  make(map[ident.DomainName]*domainHealth),
 		suspects: make(map[catalog.Token]*target),
 		hooks: Hooks{
 			Health:     func(HealthChange) {},
@@ -174,13 +174,13 @@
 
 // domainHealth returns the health of a failure domain, creating it if needed.
 // The caller must hold e.mu.
-func (e *Engine) domainHealth(name ident.DomainName) *health {
-	h := e.domains[name]
-	if h == nil {
-		h = &health{}
-		e.domains[name] = h
+func (e *Engine) domainHealth(name ident.DomainName) *domainHealth {
+	d := e.domains[name]
+	if d == nil {
+		d = &domainHealth{}
+		e.domains[name] = d
 	}
-	return h
+	return d
 }
 
 // SetVMs sets the VMs that share the rate of new flows to cold upstreams, this
@@ -368,9 +368,9 @@
 // domain, in which case new flows avoid it.
 func (e *Engine) SetPartitioned(domain ident.DomainName, partitioned bool) {
 	e.mu.Lock()
-	h := e.domainHealth(domain)
+	d := e.domainHealth(domain)
 	e.mu.Unlock()
-	h.setPartitioned(partitioned)
+	d.setPartitioned(partitioned)
 }
 
 // ResetDomainHealth clears the evidence collected against a failure domain and
--- a/fleet/forward/explain.go
+++ b/fleet/forward/explain.go
@@ -66,7 +66,7 @@
 func (e *Engine) explainCandidates(now clock.Millis, v *view, pl placement) []ExplainedCandidate {
 	for _, entry := range v.catalog.Serving(pl.service) {
 		if entry.Token == 0 { // the view leaves it out
-			pl.upstreams = append(slices.Clip(pl.upstreams), &target{entry: entry, load: &upstreamLoad{}, domain: &health{}})
+			pl.upstreams = append(slices.Clip(pl.upstreams), &target{entry: entry, load: &upstreamLoad{}, domain: &domainHealth{}})
 		}
 	}
 	list := make([]ExplainedCandidate, len(pl.upstreams))
--- a/fleet/forward/health.go
+++ b/fleet/forward/health.go
@@ -14,10 +14,6 @@
 	// since the sending of the newest packet that was acknowledged.
 	lostStalls               = 3
 	lostTimeout clock.Millis = 250
-	// A silent upstream gets a probing flow after probeBackoffMin. The interval
-	// doubles with each probe up to probeBackoffMax.
-	probeBackoffMin = 1 * clock.Second
-	probeBackoffMax = 4 * clock.Second
 	// confirmationTTL is how long a stall on a packet sent after an upstream was
 	// lost shows that it still does not answer open flows. The next packets are
 	// then forwarded again as trials.
@@ -39,7 +35,7 @@
 // String returns the condition as written to logs.
 func (c condition) String() string { return [...]string{"answering", "silent", "lost"}[c] }
 
-// healthState is the state of an upstream or of a failure domain.
+// healthState is the state of an upstream.
 type healthState struct {
 	// condition follows from all stalled flows, and decides about new flows.
 	condition condition
@@ -54,8 +50,7 @@
 	return s.condition == lost && before.condition != lost || s.openLost && !before.openLost
 }
 
-// health tracks by passive checks whether an upstream, or any upstream of a failure
-// domain, answers (outlier ejection).
+// health tracks by passive checks whether an upstream answers (outlier ejection).
 type health struct {
 	mu      sync.Mutex
 	ackedAt clock.Millis // sending time of the newest acknowledged packet
@@ -64,13 +59,9 @@
 	stalled, openStalled stallCount
 	state                healthState
 	openLostAt           clock.Millis // when state.openLost was set
-	nextProbe            clock.Millis
-	probeBackoff         clock.Millis
+	probes               probeSchedule
 	// shared is the evidence merged with that of other VMs.
 	shared sharedEvidence
-	// partitioned is set while nothing is received from any VM of the failure
-	// domain.
-	partitioned bool
 }
 
 // recordAck records that a packet sent at sentAt arrived, and returns the state
@@ -107,7 +98,8 @@
 	}
 	if sentAt > h.stalled.sentAt && len(h.shared.stalls) == 0 {
 		h.stalled = stallCount{}
-		h.state.condition, h.probeBackoff = answering, 0
+		h.state.condition = answering
+		h.probes.stop()
 	}
 	return refuted || h.state != before
 }
@@ -115,8 +107,7 @@
 // markSilent stops new flows except probes. The caller must hold h.mu.
 func (h *health) markSilent(now clock.Millis) {
 	h.state.condition = silent
-	h.probeBackoff = probeBackoffMin
-	h.nextProbe = now + probeBackoffMin
+	h.probes.start(now)
 }
 
 // markOpenLost records that open flows are not answered. The caller must hold h.mu.
@@ -129,9 +120,7 @@
 }
 
 // recordStall records a stall, and returns the state before and after.
-// minUpstreams is the number of upstreams, 1 or 2, that must have stalled flows
-// before the state changes.
-func (h *health) recordStall(now clock.Millis, r *stallReport, minUpstreams int) (before, after healthState) {
+func (h *health) recordStall(now clock.Millis, r *stallReport) (before, after healthState) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	before = h.state
@@ -140,10 +129,7 @@
 	}
 	h.stalled.add(r)
 	if r.open {
-		h.recordOpenStall(now, r, minUpstreams)
-	}
-	if minUpstreams > 1 && !h.stalled.multiple {
-		return before, h.state
+		h.recordOpenStall(now, r)
 	}
 	if h.stalled.flows >= silentStalls && h.state.condition == answering {
 		h.markSilent(now)
@@ -156,14 +142,11 @@
 
 // recordOpenStall records a stall of an open flow. It does not count together with
 // those more than stallTTL older. The caller must hold h.mu.
-func (h *health) recordOpenStall(now clock.Millis, r *stallReport, minUpstreams int) {
+func (h *health) recordOpenStall(now clock.Millis, r *stallReport) {
 	if r.sentAt-h.newestOpenStall() > stallTTL {
 		h.openStalled, h.state.openLost = stallCount{}, false
 	}
 	h.openStalled.add(r)
-	if minUpstreams > 1 && !h.openStalled.multiple {
-		return
-	}
 	if h.openStalled.isLost(now, h.ackedAt, r.pathAckedAt) {
 		h.markOpenLost(now)
 	}
@@ -176,27 +159,6 @@
 	return sentAt < h.ackedAt
 }
 
-func (h *health) setPartitioned(partitioned bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.partitioned = partitioned
-}
-
-// avoided reports whether new flows should go to other failure domains.
-func (h *health) avoided() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.partitioned || h.state.condition == lost
-}
-
-// reachable reports whether nothing indicates that the failure domain is
-// unreachable.
-func (h *health) reachable() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return !h.partitioned && h.state.condition == answering
-}
-
 // resetsStalled reports whether open flows that retransmit are to be reset. For an
 // upstream that is still published the newest stall of an open flow must be no older
 // than stallTTL, since the upstream may answer other VMs again.
@@ -232,26 +194,16 @@
 // condition returns the current condition.
 func (h *health) condition() condition { return h.current().condition }
 
-// probeDue reports whether a probing flow is due for a silent or lost target.
+// probeDue reports whether a probing flow is due.
 func (h *health) probeDue(now clock.Millis) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.isProbeDue(now)
-}
-
-// isProbeDue implements probeDue without locking. The caller must hold h.mu.
-func (h *health) isProbeDue(now clock.Millis) bool {
-	return h.state.condition != answering && now >= h.nextProbe
+	return h.probes.due(now)
 }
 
 // takeProbe reports whether a probing flow is due, and if so schedules the next one.
 func (h *health) takeProbe(now clock.Millis) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.isProbeDue(now) {
-		return false
-	}
-	h.probeBackoff = min(2*h.probeBackoff, probeBackoffMax)
-	h.nextProbe = now + h.probeBackoff
-	return true
+	return h.probes.take(now)
 }
--- a/fleet/forward/healthchange.go
+++ b/fleet/forward/healthchange.go
@@ -15,7 +15,8 @@
 	// From and To are the states before and after: "answering", "silent" or
 	// "lost".
 	From, To string
-	// OpenLost is set if open flows are not answered either, so that they are reset.
+	// OpenLost is set if open flows are not answered either, so that they are reset. It
+	// is never set for a failure domain.
 	OpenLost bool
 	// Flows is the number of stalled flows known, some of which may pass
 	// through other VMs.
@@ -34,19 +35,26 @@
 	if before == after {
 		return
 	}
-	h := &t.load.health
-	if c.WholeDomain {
-		h = t.domain
-	}
 	c.Upstream, c.OpenLost = t.entry, after.openLost
 	c.From, c.To = before.condition.String(), after.condition.String()
-	c.Flows, c.AckedAge = h.evidence(now)
+	c.Flows, c.AckedAge = t.load.health.evidence(now)
 	e.hooks.Health(c)
-	if !c.WholeDomain && after.becameLost(before) {
+	if after.becameLost(before) {
 		e.queueResets(t.load)
 	}
 }
 
+// reportDomainChange reports a change of the condition of the failure domain of t, if
+// there is one.
+func (e *Engine) reportDomainChange(now clock.Millis, t *target, before, after condition) {
+	if before == after {
+		return
+	}
+	c := HealthChange{Upstream: t.entry, WholeDomain: true, From: before.String(), To: after.String()}
+	c.Flows, c.AckedAge = t.domain.evidence(now)
+	e.hooks.Health(c)
+}
+
 // evidence returns the number of stalled flows and the age of the newest
 // acknowledged packet, 0 if there is none.
 func (h *health) evidence(now clock.Millis) (flows int, ackedAge clock.Millis) {
--- a/fleet/forward/learn.go
+++ b/fleet/forward/learn.go
@@ -7,12 +7,12 @@
 // isLost reports whether a flow that sends data is to be reset. It is if
 //   - its upstream is lost to open flows, and a packet that an open flow sent since has
 //     stalled as well: an upstream that was slow for a moment is taken for lost, too;
-//   - the flow retransmits, and its upstream or the whole failure domain is lost to open
-//     flows;
+//   - the flow retransmits, and its upstream is lost to open flows;
 //   - it has retransmitted for retransmitTimeout, and its upstream is lost to openings or
 //     no longer published.
 //
-// A VM that distrusts its evidence resets no flow.
+// A VM that distrusts its evidence resets no flow. Stalls of flows to other upstreams do not
+// count: the flow may just have lost a datagram.
 func (e *Engine) isLost(now clock.Millis, f *flow) bool {
 	if !e.localHealth.trusts(now) {
 		return false
@@ -28,11 +28,8 @@
 	if h.resetsStalled(now, unpublished) {
 		return true
 	}
-	if e.pathAckedAt() <= f.sentAt {
-		return false
-	}
-	timedOut := now-f.sentAt >= retransmitTimeout
-	return f.target.domain.current().openLost || timedOut && (unpublished || h.condition() == lost)
+	timedOut := now-f.sentAt >= retransmitTimeout && e.pathAckedAt() > f.sentAt
+	return timedOut && (unpublished || h.condition() == lost)
 }
 
 // observe updates the flow and the load and health of its upstream from a
@@ -92,8 +89,8 @@
 	}
 	before, after := f.target.load.health.recordAck(f.sentAt)
 	e.reportChange(now, f.target, HealthChange{}, before, after)
-	before, after = f.target.domain.recordAck(f.sentAt)
-	e.reportChange(now, f.target, HealthChange{WholeDomain: true}, before, after)
+	domainBefore, domainAfter := f.target.domain.recordAck(f.sentAt)
+	e.reportDomainChange(now, f.target, domainBefore, domainAfter)
 }
 
 // pathAckedAt returns the sending time of the newest packet that any upstream
@@ -113,17 +110,15 @@
 		sentAt: f.sentAt, open: f.established, repeated: f.stalledSentAt == f.sentAt, upstream: f.target.load, pathAckedAt: e.pathAckedAt(),
 	}
 	f.retransmitAt, f.stalledSentAt = now, f.sentAt
-	before, after := f.target.load.health.recordStall(now, &r, 1)
+	before, after := f.target.load.health.recordStall(now, &r)
 	e.reportChange(now, f.target, HealthChange{}, before, after)
 	if r.pathAckedAt > f.sentAt && e.localHealth.trusts(now) { // otherwise this VM or its link may be delaying everything
 		before, after = f.target.load.health.addStall(now, Stall{Flow: uint32(keyOf(p).hash() >> 33), Open: f.established, SentAt: f.sentAt})
 		e.addSuspect(f.target)
 		e.reportChange(now, f.target, HealthChange{}, before, after)
 	}
-	// One silent upstream does not show that its whole failure domain is lost, so two
-	// must have stalled flows.
-	before, after = f.target.domain.recordStall(now, &r, 2)
-	e.reportChange(now, f.target, HealthChange{WholeDomain: true}, before, after)
+	domainBefore, domainAfter := f.target.domain.recordStall(now, &r)
+	e.reportDomainChange(now, f.target, domainBefore, domainAfter)
 }
 
 const (
--- a/fleet/forward/place.go
+++ b/fleet/forward/place.go
@@ -127,7 +127,7 @@
 
 // isAnswering reports whether t is believed to answer this VM.
 func isAnswering(t *target) bool {
-	return t.load.health.condition() == answering && t.domain.condition() != lost
+	return t.load.health.condition() == answering && t.domain.current() != lost
 }
 
 func (e *Engine) forwardOpening(p *Packet, t *target) Decision {
@@ -176,8 +176,10 @@
 // only the aggregators of an upstream probe it, but each probes a failure domain that
 // does not answer.
 func (e *Engine) takesProbe(now clock.Millis, t *target, fx *effects) bool {
-	h, wholeDomain := probedHealth(t)
-	return fx.takeProbe(h, now) && (wholeDomain || e.isAggregator(t.entry.Token))
+	if t.domain.current() != answering {
+		return fx.takeDomainProbe(t.domain, now)
+	}
+	return fx.takeProbe(&t.load.health, now) && e.isAggregator(t.entry.Token)
 }
 
 // isProbed reports whether t gets flows only as probes.
@@ -186,13 +188,13 @@
 	return c == classSilent || c == classAvoided
 }
 
-// probedHealth returns the health that schedules the probes of t. While the whole
-// failure domain of t does not answer, one upstream is probed on behalf of all.
-func probedHealth(t *target) (h *health, wholeDomain bool) {
-	if t.domain.condition() != answering {
-		return t.domain, true
+// probeDue reports whether a probing flow to t is due. While the whole failure domain
+// of t does not answer, one upstream is probed on behalf of all.
+func probeDue(now clock.Millis, t *target) bool {
+	if t.domain.current() != answering {
+		return t.domain.probeDue(now)
 	}
-	return &t.load.health, false
+	return t.load.health.probeDue(now)
 }
 
 // isAggregator reports whether this VM is an aggregator of an upstream. Until the
--- a/fleet/forward/ranking.go
+++ b/fleet/forward/ranking.go
@@ -33,8 +33,7 @@
 			best = &r.cold
 		case classSilent, classAvoided:
 			best = &r.silent
-			h, _ := probedHealth(t)
-			r.probeDue = r.probeDue || h.probeDue(now)
+			r.probeDue = r.probeDue || probeDue(now, t)
 		case classAnswering:
 		}
 		if c.cheaper(best) {
--- a/fleet/forward/stallcount.go
+++ b/fleet/forward/stallcount.go
@@ -14,13 +14,10 @@
 	pathAckedAt clock.Millis
 }
 
-// stallCount counts stalled flows.
+// stallCount counts the stalled flows of an upstream.
 type stallCount struct {
 	flows  int
 	sentAt clock.Millis // sending time of the newest stalled packet
-	// upstream is the one that the first stalled flow waits for.
-	upstream *upstreamLoad
-	multiple bool // flows of more than one upstream have stalled
 }
 
 // add counts a stall, unless it is a repeated one.
@@ -29,10 +26,6 @@
 		c.flows++
 	}
 	c.sentAt = max(c.sentAt, r.sentAt)
-	if c.upstream == nil {
-		c.upstream = r.upstream
-	}
-	c.multiple = c.multiple || c.upstream != r.upstream
 }
 
 // isLost reports whether the stalls show that nothing is answered any more, where
--- a/standin/emulator/flows_test.go
+++ b/standin/emulator/flows_test.go
@@ -116,3 +116,38 @@
 		assert.Equal(t, sim.SpuriousResets, 0)
 	})
 }
+
+// TestLostDatagramsBesideCrashes draws fleets in which some upstreams crash, and flows to
+// the others lose a datagram while the crash is noticed. It guards against resets of
+// flows to healthy upstreams by evidence about others of their failure domain.
+func TestLostDatagramsBesideCrashes(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawFleet(t)
+		standing, _ := drawLoads(t, &s)
+		quiet := rapid.IntRange(1, 8).Draw(t, "quiet")
+		for _, l := range standing {
+			l.Callers = max(2, l.Callers/quiet)
+		}
+		if rapid.Bool().Draw(t, "crossesDomains") {
+			s.Policy = forward.LeastLoadedPolicy()
+		}
+		sim := New(s)
+		for _, l := range standing {
+			sim.Start(l)
+		}
+		crashAt := clock.Millis(rapid.IntRange(9000, 11_000).Draw(t, "crashAt"))
+		for _, u := range sim.Upstreams {
+			if rapid.Bool().Draw(t, "crashes") {
+				sim.At(crashAt, u.Crash)
+				continue
+			}
+			for range rapid.IntRange(0, 4).Draw(t, "losses") {
+				lostAt := crashAt + clock.Millis(rapid.IntRange(0, 5000).Draw(t, "lostAfter"))
+				sim.At(lostAt, func() { u.LoseRequests(1, 1) })
+			}
+		}
+		sim.Run(18_000)
+		assert.Equal(t, sim.SpuriousResets, 0)
+	})
+}
