forward: start an upstream slowly that answers again after stalls

Cause: a VM knew only from the published entry whether an upstream is cold. The entry told of the process before the crash, and the first answer after a silence made the upstream as good as any. SlowStartMillis was decoded and not used.

Change: an upstream at which two flows stalled gets new flows at the rate of a cold one for its slow start time from its first answer on, and after one stall only if no other upstream answers. A flow that was open before the stalls and makes progress at least 0.3 s after them ends that, since a process that started again would not know it. Stalls that other VMs report count also where this VM saw answers since; a failure domain that is heard again is no answer of its upstreams; a VM that starts learns from an older one which upstreams have not recovered. upstreamHealth tells slowStart, the explanation the class unconfirmed.

Why it works: whether an upstream is warm is now taken from what was seen after its last stall, not from an entry before it.

Dead upstreams are found as before.

--- a/amaranthctl/whereanswer.go
+++ b/amaranthctl/whereanswer.go
@@ -24,10 +24,11 @@
 
 // ruleTexts describes the rules by which an upstream is chosen.
 var ruleTexts = map[forward.Rule]string{
-	forward.RuleProbe:      "a probe, to see whether it answers again",
-	forward.RuleCold:       "lowest cost, cold, and this VM has some of its rate left",
-	forward.RuleLowestCost: "lowest cost of those that answer",
-	forward.RulePanic:      "lowest cost, as no upstream is known to answer",
+	forward.RuleProbe:       "a probe, to see whether it answers again",
+	forward.RuleCold:        "lowest cost, cold, and this VM has some of its rate left",
+	forward.RuleLowestCost:  "lowest cost of those that answer",
+	forward.RuleUnconfirmed: "lowest cost, as all others may have restarted or do not answer",
+	forward.RulePanic:       "lowest cost, as no upstream is known to answer",
 }
 
 // print writes the answer as text with a table of the candidates.
--- a/amaranthd/entry/decisions.go
+++ b/amaranthd/entry/decisions.go
@@ -27,7 +27,7 @@
 				event.Log(ctx, log, event.DomainHealth, attrs...)
 				return
 			}
-			event.Log(ctx, log, event.UpstreamHealth, append(attrs, slog.String("upstream", string(b.Upstream.ID)), slog.Bool("told", b.Indirect))...)
+			event.Log(ctx, log, event.UpstreamHealth, append(attrs, slog.String("upstream", string(b.Upstream.ID)), slog.Bool("told", b.Indirect), slog.Bool("slowStart", b.SlowStart))...)
 		},
 		Placed: func(p *forward.Packet, d forward.Decision, u *catalog.Entry) {
 			if d.Action == forward.Refuse {
--- a/amaranthd/entry/peers.go
+++ b/amaranthd/entry/peers.go
@@ -92,6 +92,8 @@
 	}
 	p.probeTo = reachable(p.conn.LocalAddr().(*net.UDPAddr).AddrPort())
 	p.transfer = newStateTransfer(r, pool, p.peerAhead, log)
+	p.transfer.recoveries = func() map[catalog.Token]forward.Recovery { return engine.Recoveries(clk.Now()) }
+	p.transfer.setRecoveries = func(list map[catalog.Token]forward.Recovery) { engine.SetRecoveries(clk.Now(), list) }
 	_, alone := p.group.JoinedAt()
 	p.history = newRemovalHistory(clk, alone)
 	server.Handle(methodSince, p.transfer.serve)
--- a/amaranthd/entry/statetransfer.go
+++ b/amaranthd/entry/statetransfer.go
@@ -14,8 +14,10 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/rpc"
+	"github.com/amaranthswitch/amaranthswitch/fleet/catalog"
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
 	"github.com/amaranthswitch/amaranthswitch/fleet/event"
+	"github.com/amaranthswitch/amaranthswitch/fleet/forward"
 	"github.com/amaranthswitch/amaranthswitch/fleet/gossip"
 	"github.com/amaranthswitch/amaranthswitch/fleet/replica"
 )
@@ -60,6 +62,8 @@
 	// milliseconds for which it does so, without those that have no limit.
 	Kept     []byte                       `json:"kept,omitempty"`
 	KeptLeft map[replica.Key]clock.Millis `json:"keptLeft,omitempty"`
+	// Recovering holds the upstreams that have not recovered from a silence yet.
+	Recovering map[catalog.Token]recoveryState `json:"recovering,omitempty"`
 }
 
 // pullRequest is a queued request for published items from another VM.
@@ -80,6 +84,10 @@
 	peerAhead  func(complete replica.Revision) (gossip.Peer, bool)
 	log        *slog.Logger
 	pulls      chan pullRequest
+	// recoveries returns the upstreams that have not recovered from a silence yet, and
+	// setRecoveries sets those that another VM tells.
+	recoveries    func() map[catalog.Token]forward.Recovery
+	setRecoveries func(map[catalog.Token]forward.Recovery)
 
 	mu             sync.Mutex
 	cachedUpdate   []byte // the last encoded update, from cachedAfter to cachedComplete
@@ -88,7 +96,11 @@
 }
 
 func newStateTransfer(r *replicator, pool *rpc.Pool, ahead func(replica.Revision) (gossip.Peer, bool), log *slog.Logger) *stateTransfer {
-	return &stateTransfer{replicator: r, pool: pool, peerAhead: ahead, log: log, pulls: make(chan pullRequest, maxQueuedPulls)}
+	return &stateTransfer{
+		replicator: r, pool: pool, peerAhead: ahead, log: log, pulls: make(chan pullRequest, maxQueuedPulls),
+		recoveries:    func() map[catalog.Token]forward.Recovery { return nil },
+		setRecoveries: func(map[catalog.Token]forward.Recovery) {},
+	}
 }
 
 // enqueue queues a pull. It drops the pull and returns false if the queue is full.
@@ -115,8 +127,9 @@
 
 func (t *stateTransfer) process(ctx context.Context, p pullRequest) {
 	if !p.catchUp {
-		ok := t.fetch(ctx, p.from, 0)
+		reply, ok := t.fetch(ctx, p.from, 0)
 		t.replicator.buildNow()
+		t.setRecoveries(reply.recovering())
 		p.done(ok)
 		return
 	}
@@ -128,27 +141,26 @@
 }
 
 // fetch requests the changes after a revision from another VM and applies them. It
-// reports whether that succeeded.
-func (t *stateTransfer) fetch(ctx context.Context, from gossip.Peer, after replica.Revision) bool {
-	var reply sinceReply
+// returns the reply, and whether that succeeded.
+func (t *stateTransfer) fetch(ctx context.Context, from gossip.Peer, after replica.Revision) (reply sinceReply, ok bool) {
 	err := t.pool.Call(ctx, from.Address, methodSince, sinceRequest{After: after, Eras: true}, &reply)
 	if err != nil {
 		event.Log(ctx, t.log, event.ChannelSilent, slog.String("peer", string(from.ID)), event.Error(err))
-		return false
+		return sinceReply{}, false
 	}
 	u, err := decodeUpdate(reply.Update)
 	if err != nil {
 		event.Log(ctx, t.log, event.MessageInvalid, slog.String("peer", string(from.ID)), event.Error(err))
-		return false
+		return sinceReply{}, false
 	}
 	setRemovalAges(&u, reply.RemovalAges)
 	kept, err := reply.kept()
 	if err != nil {
 		event.Log(ctx, t.log, event.MessageInvalid, slog.String("peer", string(from.ID)), event.Error(err))
-		return false
+		return sinceReply{}, false
 	}
 	t.replicator.applyWithKept(u, kept, string(from.ID))
-	return true
+	return reply, true
 }
 
 // setRemovalAges sets the ages of the tombstones of an update. Those that ages lacks
@@ -180,6 +192,7 @@
 		return nil, err
 	}
 	reply := sinceReply{Update: data, RemovalAges: t.replicator.recentRemovals(maxRemovalAge)}
+	reply.setRecovering(t.recoveries())
 	err = reply.setKept(t.replicator.keptItems())
 	return reply, err
 }
--- a/amaranthd/entry/statetransfer_test.go
+++ b/amaranthd/entry/statetransfer_test.go
@@ -1,12 +1,14 @@
 package entry
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/amaranthswitch/amaranthswitch/fleet/catalog"
+	"github.com/amaranthswitch/amaranthswitch/fleet/forward"
 	"github.com/amaranthswitch/amaranthswitch/fleet/replica"
 )
 
@@ -45,3 +47,19 @@
 		assert.Assert(t, err != nil)
 	}
 }
+
+// TestReplyTellsRecoveries guards against a VM that starts and takes an upstream for warm
+// which the other VMs know to have been silent a moment ago.
+func TestReplyTellsRecoveries(t *testing.T) {
+	r := newTestReplicator(&fakeSource{}, func(*catalog.Catalog) {})
+	s := newStateTransfer(r, nil, nil, r.log)
+	want := map[catalog.Token]forward.Recovery{3_000_000_000: {Answered: true, Left: 1700}, 4: {}}
+	s.recoveries = func() map[catalog.Token]forward.Recovery { return want }
+	result, err := s.serve(t.Context(), []byte(`{"after":0}`))
+	assert.NilError(t, err)
+	data, err := json.Marshal(result)
+	assert.NilError(t, err)
+	var reply sinceReply
+	assert.NilError(t, json.Unmarshal(data, &reply))
+	assert.DeepEqual(t, reply.recovering(), want)
+}
--- a/fleet/forward/candidate.go
+++ b/fleet/forward/candidate.go
@@ -12,6 +12,8 @@
 	classAnswering class = iota
 	// classCold candidates get flows at a limited rate.
 	classCold
+	// classUnconfirmed candidates get flows if no answering one is left.
+	classUnconfirmed
 	// classSilent candidates get probing flows, and others if nothing else is left.
 	classSilent
 	// classAvoided candidates are treated like silent ones, since their whole failure
@@ -20,7 +22,9 @@
 )
 
 // String returns the class as written to explanations.
-func (c class) String() string { return [...]string{"answering", "cold", "silent", "avoided"}[c] }
+func (c class) String() string {
+	return [...]string{"answering", "cold", "unconfirmed", "silent", "avoided"}[c]
+}
 
 // candidate is an upstream that is considered for a new flow.
 type candidate struct {
@@ -41,13 +45,20 @@
 }
 
 func classOf(now clock.Millis, t *target) class {
-	switch {
-	case now < t.entry.ColdUntil:
+	if now < t.entry.ColdUntil {
 		return classCold
-	case t.domain.avoided(): // includes domains that do not answer
+	}
+	if t.domain.avoided() { // includes domains that do not answer
 		return classAvoided
-	case t.load.health.condition() != answering:
+	}
+	condition, standing := t.load.health.standing(now)
+	switch {
+	case condition != answering:
 		return classSilent
+	case standing == recovering:
+		return classCold
+	case standing == unconfirmed:
+		return classUnconfirmed
 	}
 	return classAnswering
 }
--- a/fleet/forward/engine.go
+++ b/fleet/forward/engine.go
@@ -16,6 +16,8 @@
 	entry  *catalog.Entry
 	load   *upstreamLoad
 	domain *domainHealth
+	// slowStart is the slow start time of the service.
+	slowStart clock.Millis
 }
 
 // view is the current catalog with the load of each upstream.
@@ -155,7 +157,11 @@
 			}
 			loads[key] = load
 		}
-		v.tokens[t] = &target{entry: entry, load: load, domain: e.domainHealth(entry.Domain)}
+		added := &target{entry: entry, load: load, domain: e.domainHealth(entry.Domain)}
+		if s, ok := c.Service(entry.Service); ok {
+			added.slowStart = s.SlowStartMillis
+		}
+		v.tokens[t] = added
 	})
 	for _, service := range c.Config.Services {
 		for _, entry := range c.Serving(service.Name) {
@@ -382,7 +388,7 @@
 	}
 	for _, t := range v.tokens {
 		if t.entry.Domain == domain {
-			t.load.health.recordAck(now)
+			t.load.health.forgetStalls(now)
 			t.domain.recordAck(now)
 		}
 	}
--- a/fleet/forward/engine_test.go
+++ b/fleet/forward/engine_test.go
@@ -23,6 +23,11 @@
 // published builds a catalog with the given upstreams of the services web and
 // api. bothAddress is routed to either service by weight.
 func published(now clock.Millis, coldPerSecond float64, upstreams ...catalog.Upstream) *catalog.Catalog {
+	return publishedWith(now, catalog.Service{Name: "web", ColdPerSecond: coldPerSecond}, upstreams...)
+}
+
+// publishedWith does so with the given configuration of the service web.
+func publishedWith(now clock.Millis, web catalog.Service, upstreams ...catalog.Upstream) *catalog.Catalog {
 	items := []replica.Item{{Key: "config", Revision: 1, Created: 1}}
 	for i := range upstreams {
 		items = append(items, replica.Item{Key: replica.Key(fmt.Sprint(i)), Revision: replica.Revision(i + 2), Created: replica.Revision(i + 2)})
@@ -39,7 +44,7 @@
 				{Address: apiAddress, Targets: []catalog.Target{{Service: "api", Weight: 1}}},
 				{Address: bothAddress, Targets: []catalog.Target{{Service: "web", Weight: 90}, {Service: "api", Weight: 10}}},
 			},
-			Services: []catalog.Service{{Name: "web", ColdPerSecond: coldPerSecond}, {Name: "api"}},
+			Services: []catalog.Service{web, {Name: "api"}},
 		}
 		return c, nil
 	}, func(replica.Item, error) {}, 0)
--- a/fleet/forward/explainedcandidate.go
+++ b/fleet/forward/explainedcandidate.go
@@ -29,7 +29,8 @@
 	Expected float64 `json:"expected"`
 	// Slots is the number of requests that the upstream processes concurrently.
 	Slots int `json:"slots"`
-	// Class is "answering", "cold", "silent" or "avoided". An avoided upstream is in a
+	// Class is "answering", "cold", "unconfirmed", "silent" or "avoided". An unconfirmed
+	// upstream left a packet unanswered and may have restarted. An avoided one is in a
 	// failure domain that is lost or of which no VM is heard.
 	Class string `json:"class"`
 	// Health is that of the upstream itself: "answering", "silent" or "lost".
--- a/fleet/forward/flows.go
+++ b/fleet/forward/flows.go
@@ -58,12 +58,13 @@
 	sentAt       clock.Millis // first transmission of the request or opening that awaits an answer
 	requestAt    clock.Millis // last packet of the request in flight, 0 if there is none
 	retransmitAt clock.Millis // last retransmission that counted as a stall
+	// establishedAt is when this VM first saw a packet after the opening one, 0 before.
+	establishedAt clock.Millis
 	// stalledSentAt is the sentAt for which the flow was counted as stalled.
 	stalledSentAt clock.Millis
 	expected      int32  // contribution to the expected load of the upstream
 	responses     uint16 // requests answered so far, at most maxResponses
 	opened        bool   // this VM saw the opening packet
-	established   bool   // this VM saw a packet after the opening one
 	awaiting      bool   // a request was sent and is not answered yet
 	counted       bool   // the flow is included in the expected load
 	rejected      bool   // the upstream rejected a request
@@ -94,6 +95,9 @@
 	return &t.shards[maphash.Comparable(t.seed, k)%shardCount]
 }
 
+// established reports whether this VM saw a packet after the opening one.
+func (f *flow) established() bool { return f.establishedAt != 0 }
+
 // addLoad adds the flow to the expected load of its upstream, unless it is
 // included already. Flows of routes that carry one request each add none.
 func (f *flow) addLoad() {
@@ -203,11 +207,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for k, f := range s.flows {
-		if f.target.load != l || f.closed || f.requestAt == 0 || f.stalledSentAt != f.sentAt || f.established && !resetOpen {
+		if f.target.load != l || f.closed || f.requestAt == 0 || f.stalledSentAt != f.sentAt || f.established() && !resetOpen {
 			continue
 		}
 		packets = append(packets, Packet{
-			Caller: addrPortOf(k[0:6]), Destination: addrPortOf(k[6:12]), Ack: f.ack, Opening: !f.established,
+			Caller: addrPortOf(k[0:6]), Destination: addrPortOf(k[6:12]), Ack: f.ack, Opening: !f.established(),
 		})
 		onLost(&packets[len(packets)-1], f.target.entry)
 		f.end()
--- a/fleet/forward/health.go
+++ b/fleet/forward/health.go
@@ -42,6 +42,9 @@
 	// openLost is set if open flows are not answered either. It follows from open
 	// flows alone, since an upstream that is full ignores openings.
 	openLost bool
+	// slowStart is set while the upstream answers again after a silence in which it may
+	// have restarted.
+	slowStart bool
 }
 
 // becameLost reports whether stalled flows are to be reset since a change from before
@@ -62,22 +65,35 @@
 	probes               probeSchedule
 	// shared is the evidence merged with that of other VMs.
 	shared sharedEvidence
+	// recovery is that from the last silence.
+	recovery recovery
 }
 
-// recordAck records that a packet sent at sentAt arrived, and returns the state
-// before and after. It clears the stalls of open flows only if sentAt is later than all
-// of these, and all stalls only if it is later than any: an answer to an earlier packet
-// does not show that the upstream still answers.
-func (h *health) recordAck(sentAt clock.Millis) (before, after healthState) {
+// recordAck records an acknowledgement, and returns the state before and after. It clears
+// the stalls of open flows only if the answered packet was sent later than all of these,
+// and all stalls only if it was sent later than any: an answer to an earlier packet does
+// not show that the upstream still answers.
+func (h *health) recordAck(a *acknowledgement) (before, after healthState) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	before = h.state
-	if refuted := h.acked(sentAt); refuted && before.condition != answering {
+	if refuted := h.acked(a.sentAt); refuted && before.condition != answering {
 		h.shared.pending, h.shared.broadcast = true, true
 	}
+	h.recovery.recordAnswer(a.seenAt, a.sentAt, a.slowStart)
+	h.recovery.recordProgress(a.establishedAt, a.aliveAt)
+	h.state.slowStart = h.recovery.slowStart(a.seenAt)
 	return before, h.state
 }
 
+// forgetStalls clears the evidence of packets sent before now. It does not show that the
+// upstream answers.
+func (h *health) forgetStalls(now clock.Millis) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.acked(now)
+}
+
 // refutedBy reports whether an acknowledgement of a packet sent at sentAt refutes the
 // stalls of two open flows or more that this VM saw, since it is one of a later packet
 // or, if stalled is set, of one of these flows: they were slow, not lost.
@@ -87,8 +103,8 @@
 	return h.openStalled.flows >= silentStalls && (stalled || sentAt > h.openStalled.sentAt)
 }
 
-// acked implements recordAck without locking, and reports whether it contradicts any
-// evidence. The caller must hold h.mu.
+// acked clears the stalls that an answer to a packet sent at sentAt contradicts, and
+// reports whether there were any. The caller must hold h.mu.
 func (h *health) acked(sentAt clock.Millis) (refuted bool) {
 	before := h.state
 	h.ackedAt = max(h.ackedAt, sentAt)
@@ -191,6 +207,22 @@
 	return h.state
 }
 
+// standing returns the condition, and the standing of an upstream that answers.
+func (h *health) standing(now clock.Millis) (c condition, s standing) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.state.condition, h.recovery.standing(now)
+}
+
+// recordLoss records that a packet sent at sentAt stalled although a later one was
+// acknowledged: it was lost on its way, or the upstream restarted in between.
+func (h *health) recordLoss(now, sentAt, slowStart clock.Millis) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.recovery.begin(sentAt, sentAt, false)
+	h.recovery.recordAnswer(now, h.ackedAt, slowStart)
+}
+
 // condition returns the current condition.
 func (h *health) condition() condition { return h.current().condition }
 
--- a/fleet/forward/healthchange.go
+++ b/fleet/forward/healthchange.go
@@ -18,6 +18,9 @@
 	// OpenLost is set if open flows are not answered either, so that they are reset. It
 	// is never set for a failure domain.
 	OpenLost bool
+	// SlowStart is set while an upstream that answers again is subject to slow start,
+	// since it may have restarted.
+	SlowStart bool
 	// Flows is the number of stalled flows known, some of which may pass
 	// through other VMs.
 	Flows int
@@ -35,10 +38,13 @@
 	if before == after {
 		return
 	}
-	c.Upstream, c.OpenLost = t.entry, after.openLost
+	c.Upstream, c.OpenLost, c.SlowStart = t.entry, after.openLost, after.slowStart
 	c.From, c.To = before.condition.String(), after.condition.String()
 	c.Flows, c.AckedAge = t.load.health.evidence(now)
 	e.hooks.Health(c)
+	if after.slowStart {
+		e.addSuspect(t) // so that the end of the slow start is noticed
+	}
 	if after.becameLost(before) {
 		e.queueResets(t.load)
 	}
--- a/fleet/forward/learn.go
+++ b/fleet/forward/learn.go
@@ -43,17 +43,20 @@
 		return
 	}
 	f.addLoad()
+	opens := !f.established()
+	if opens {
+		f.establishedAt = now
+	}
 	switch {
-	case f.established && int32(p.Ack-f.ack) > 0:
-		e.recordAck(now, f)
+	case !opens && int32(p.Ack-f.ack) > 0:
+		e.recordAck(now, f, p)
 		if f.endAnswered() {
 			e.recordAnswer(now, f, p.Ack-f.ack)
 		}
-	case !f.established && f.opened:
-		e.recordAck(now, f)
+	case opens && f.opened:
+		e.recordAck(now, f, p)
 		e.hooks.Opened(now - f.sentAt)
 	}
-	f.established = true
 	f.ack = p.Ack
 	if p.Bytes == 0 {
 		return
@@ -75,9 +78,9 @@
 }
 
 // recordAck records that the upstream received the last request or opening of
-// the flow: the caller completed the opening or advanced its acknowledgement
+// the flow: with p the caller completed the opening or advanced its acknowledgement
 // number.
-func (e *Engine) recordAck(now clock.Millis, f *flow) {
+func (e *Engine) recordAck(now clock.Millis, f *flow, p *Packet) {
 	for {
 		old := e.newestAck.Load()
 		if int64(f.sentAt) <= old || e.newestAck.CompareAndSwap(old, int64(f.sentAt)) {
@@ -87,7 +90,8 @@
 	if f.target.load.health.refutedBy(f.sentAt, f.stalledSentAt == f.sentAt) {
 		e.distrustEvidence(now, DistrustCause{})
 	}
-	before, after := f.target.load.health.recordAck(f.sentAt)
+	a := f.acknowledgement(now, p)
+	before, after := f.target.load.health.recordAck(&a)
 	e.reportChange(now, f.target, HealthChange{}, before, after)
 	domainBefore, domainAfter := f.target.domain.recordAck(f.sentAt)
 	e.reportDomainChange(now, f.target, domainBefore, domainAfter)
@@ -103,17 +107,23 @@
 	if now-f.sentAt < minRetransmit {
 		return // out of order, or queued together with the original
 	}
+	pathAckedAt := e.pathAckedAt()
+	// Otherwise this VM or its link may be delaying everything.
+	trusted := pathAckedAt > f.sentAt && e.localHealth.trusts(now)
 	if f.target.load.health.ackedSince(f.sentAt) {
-		return // later packets were acknowledged, so this one was lost on its way
+		if trusted {
+			f.target.load.health.recordLoss(now, f.sentAt, f.target.slowStart)
+		}
+		return // later packets were acknowledged, so this one was not
 	}
 	r := stallReport{
-		sentAt: f.sentAt, open: f.established, repeated: f.stalledSentAt == f.sentAt, upstream: f.target.load, pathAckedAt: e.pathAckedAt(),
+		sentAt: f.sentAt, open: f.established(), repeated: f.stalledSentAt == f.sentAt, upstream: f.target.load, pathAckedAt: pathAckedAt,
 	}
 	f.retransmitAt, f.stalledSentAt = now, f.sentAt
 	before, after := f.target.load.health.recordStall(now, &r)
 	e.reportChange(now, f.target, HealthChange{}, before, after)
-	if r.pathAckedAt > f.sentAt && e.localHealth.trusts(now) { // otherwise this VM or its link may be delaying everything
-		before, after = f.target.load.health.addStall(now, Stall{Flow: uint32(keyOf(p).hash() >> 33), Open: f.established, SentAt: f.sentAt})
+	if trusted {
+		before, after = f.target.load.health.addStall(now, Stall{Flow: uint32(keyOf(p).hash() >> 33), Open: f.established(), SentAt: f.sentAt})
 		e.addSuspect(f.target)
 		e.reportChange(now, f.target, HealthChange{}, before, after)
 	}
--- a/fleet/forward/place.go
+++ b/fleet/forward/place.go
@@ -114,7 +114,7 @@
 		return nil
 	}
 	f.target = t
-	if f.established {
+	if f.established() {
 		return t
 	}
 	e.recordRetransmit(now, f, p)
@@ -140,9 +140,9 @@
 // if no upstream other than pl.except accepts the flow. It takes the probe or the share
 // of a cold upstream that the flow uses up, unless fx is simulated. It returns the best
 // cold upstream if that is cheaper than the best answering one and its rate permits,
-// otherwise the best answering upstream. Silent upstreams get a probing flow from time
-// to time if probing is set, and if no other upstream is left, the flow goes to a silent
-// one nevertheless (panic threshold).
+// otherwise the best answering upstream, and the best unconfirmed one if there is none.
+// Silent upstreams get a probing flow from time to time if probing is set, and if no other
+// upstream is left, the flow goes to a silent one nevertheless (panic threshold).
 func (e *Engine) choose(now clock.Millis, v *view, pl *placement, probing bool, fx *effects) (*target, Rule) {
 	r := e.ranked(now, pl)
 	if r.probeDue && probing {
@@ -155,6 +155,8 @@
 		return r.cold.target, RuleCold
 	case r.answering.target != nil:
 		return r.answering.target, RuleLowestCost
+	case r.unconfirmed.target != nil:
+		return r.unconfirmed.target, RuleUnconfirmed
 	case r.silent.target != nil:
 		return r.silent.target, RulePanic
 	}
--- a/fleet/forward/ranking.go
+++ b/fleet/forward/ranking.go
@@ -5,7 +5,7 @@
 // ranking holds the cheapest candidates for a new flow. The target of a candidate is
 // nil if there is none.
 type ranking struct {
-	answering, cold candidate
+	answering, cold, unconfirmed candidate
 	// silent is the cheapest silent or avoided candidate.
 	silent candidate
 	// probeDue is set if a silent or avoided candidate is due for a probe.
@@ -31,6 +31,8 @@
 		switch c.class {
 		case classCold:
 			best = &r.cold
+		case classUnconfirmed:
+			best = &r.unconfirmed
 		case classSilent, classAvoided:
 			best = &r.silent
 			r.probeDue = r.probeDue || probeDue(now, t)
--- a/fleet/forward/rule.go
+++ b/fleet/forward/rule.go
@@ -14,6 +14,9 @@
 	RuleCold Rule = "cold"
 	// RuleLowestCost means that no answering upstream costs less.
 	RuleLowestCost Rule = "lowestCost"
+	// RuleUnconfirmed means that only upstreams that may have restarted answer, and that
+	// none of them costs less.
+	RuleUnconfirmed Rule = "unconfirmed"
 	// RulePanic means that only silent and avoided upstreams accept the flow, and none
 	// of them costs less (panic threshold).
 	RulePanic Rule = "panic"
--- a/fleet/forward/suspicion.go
+++ b/fleet/forward/suspicion.go
@@ -111,6 +111,16 @@
 	return n
 }
 
+// oldest returns the sending time of the oldest stalled packet, 0 if there is none.
+func (s *sharedEvidence) oldest() (at clock.Millis) {
+	for i, stall := range s.stalls {
+		if i == 0 || stall.SentAt < at {
+			at = stall.SentAt
+		}
+	}
+	return at
+}
+
 // newest returns the sending time of the newest stalled packet, 0 if there is
 // none.
 func (s *sharedEvidence) newest() (at clock.Millis) {
@@ -161,6 +171,7 @@
 		h.shared.prune(now, h.ackedAt)
 		h.shared.add(now, stall)
 	}
+	h.recovery.begin(stall.SentAt, stall.SentAt, h.state.condition != answering)
 	h.evaluate(now)
 	return before, h.state
 }
@@ -169,7 +180,7 @@
 // state before and after. An acknowledgement is queued for the other VMs if this
 // VM has one that is newer than a reported stall, or if a newer one in the report
 // makes an upstream answering again that was not answering here.
-func (h *health) merge(now clock.Millis, s *Suspicion) (before, after healthState) {
+func (h *health) merge(now, slowStart clock.Millis, s *Suspicion) (before, after healthState) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	before = h.state
@@ -179,6 +190,8 @@
 		h.shared.pending = h.shared.pending || wasNotAnswering && refuted
 		h.shared.broadcast = h.shared.broadcast || wasNotAnswering
 	}
+	h.recordPeerStalls(s)
+	h.recovery.recordAnswer(now, h.ackedAt, slowStart)
 	h.shared.prune(now, h.ackedAt)
 	for _, stall := range s.Stalls {
 		if stall.SentAt <= h.ackedAt {
@@ -192,10 +205,24 @@
 	return before, h.state
 }
 
+// recordPeerStalls records that the upstream may have restarted since the stalls that
+// another VM reports, even if this VM has seen answers since and so does not take the
+// stalls over. The caller must hold h.mu.
+func (h *health) recordPeerStalls(s *Suspicion) {
+	if len(s.Stalls) > 0 {
+		reported := sharedEvidence{stalls: s.Stalls}
+		h.recovery.begin(reported.oldest(), reported.newest(), len(s.Stalls) >= silentStalls)
+	}
+}
+
 // evaluate updates the state from the shared evidence. The caller must hold
 // h.mu.
 func (h *health) evaluate(now clock.Millis) {
 	n := len(h.shared.stalls)
+	if n >= silentStalls {
+		h.recovery.begin(h.shared.oldest(), h.shared.newest(), true)
+	}
+	h.state.slowStart = h.recovery.slowStart(now)
 	if n >= silentStalls && h.state.condition == answering {
 		h.markSilent(now)
 	}
@@ -265,7 +292,7 @@
 		if !ok {
 			continue
 		}
-		before, after := t.load.health.merge(now, &list[i])
+		before, after := t.load.health.merge(now, t.slowStart, &list[i])
 		e.addSuspect(t)
 		e.reportChange(now, t, HealthChange{Indirect: true}, before, after)
 	}
--- a/standin/emulator/caller.go
+++ b/standin/emulator/caller.go
@@ -84,10 +84,12 @@
 	address  netip.AddrPort
 	vm       *VM
 	upstream *Upstream // nil until the open is answered
-	token    catalog.Token
-	seq, ack uint32
-	request  int // number of the current request
-	accepted int // number of the latest request that the upstream received
+	// upstreamStarts tells which process of the upstream answered the open.
+	upstreamStarts int
+	token          catalog.Token
+	seq, ack       uint32
+	request        int // number of the current request
+	accepted       int // number of the latest request that the upstream received
 	// transmissions is how often the current request was sent, and lost up to which
 	// of them the network loses it on its way to the upstream.
 	transmissions, lost int
@@ -206,12 +208,14 @@
 }
 
 // handleOpenReply completes the open with the first reply; later replies are ignored.
-func (f *Flow) handleOpenReply(u *Upstream, token catalog.Token) {
+func (f *Flow) handleOpenReply(u *Upstream, token catalog.Token, starts int) {
 	if f.closed || f.upstream != nil {
 		return
 	}
-	f.upstream, f.token = u, token
-	u.flows[f] = true
+	f.upstream, f.token, f.upstreamStarts = u, token, starts
+	if starts == u.starts {
+		u.flows[f] = true
+	}
 	f.seq++
 	f.ack = f.caller.sim.rng.Uint32()
 	f.sendPacket(0)
--- a/standin/emulator/simulation.go
+++ b/standin/emulator/simulation.go
@@ -51,6 +51,8 @@
 	Policy forward.Policy
 	// ColdPerSecond is the rate of new flows that a cold upstream accepts.
 	ColdPerSecond float64
+	// SlowStart is the slow start time of upstreams, as configured.
+	SlowStart clock.Millis
 	// NoSuspicionGossip stops VMs from sharing suspicions of unresponsive upstreams.
 	NoSuspicionGossip bool
 	// SampleDelay is the age at which samples of the answers of upstreams reach other
@@ -288,7 +290,7 @@
 			c.Config = &catalog.Config{
 				Version:  1,
 				Routes:   []catalog.Route{sim.route(LongLivedAddress), sim.route(ShortLivedAddress)},
-				Services: []catalog.Service{{Name: ServiceName, ColdPerSecond: sim.setup.ColdPerSecond}},
+				Services: []catalog.Service{{Name: ServiceName, ColdPerSecond: sim.setup.ColdPerSecond, SlowStartMillis: sim.setup.SlowStart}},
 			}
 			return c, nil
 		}
--- a/standin/emulator/upstream.go
+++ b/standin/emulator/upstream.go
@@ -20,6 +20,8 @@
 	Failing bool
 	// OpenTimes holds the arrival times of opening packets.
 	OpenTimes []clock.Millis
+	// Missed counts the opening packets that came while the upstream was not alive.
+	Missed int
 	// Served counts the completed requests, and Shed those refused as the queue was full
 	// or the upstream was failing.
 	Served, Shed int
@@ -32,6 +34,7 @@
 	// upstream, and loseTransmissions how many transmissions of each.
 	lose, loseTransmissions int
 	flows                   map[*Flow]bool
+	starts                  int // how often the process was started again
 	active                  int
 	queue                   []func()
 }
@@ -52,12 +55,21 @@
 	u.active, u.queue = 0, nil
 }
 
+// StartAgain starts a crashed upstream under its identifier. The catalog does not tell.
+func (u *Upstream) StartAgain() {
+	u.Alive = true
+	u.starts++
+}
+
 // Flows returns the number of open flows.
 func (u *Upstream) Flows() int { return len(u.flows) }
 
 // receive processes a packet of a caller.
 func (u *Upstream) receive(f *Flow, p forward.Packet, token catalog.Token) {
 	if !u.Alive {
+		if p.Opening {
+			u.Missed++
+		}
 		return
 	}
 	if p.Bytes > 0 && u.isLost(f) {
@@ -68,7 +80,12 @@
 			return
 		}
 		u.OpenTimes = append(u.OpenTimes, u.sim.Now)
-		u.reply(f, func() { f.handleOpenReply(u, token) })
+		starts := u.starts
+		u.reply(f, func() { f.handleOpenReply(u, token, starts) })
+		return
+	}
+	if f.upstream == u && f.upstreamStarts != u.starts {
+		u.reply(f, f.handleReset) // a flow of the process before
 		return
 	}
 	if p.Closing {
