forward: let unconfirmed upstreams have room for flows held back

Cause: the admission control asks whether the upstream of least cost has room. Change: it asks the upstream that a flow would get: the cheapest answering one, otherwise the cheapest unconfirmed one. Result: found by reading; the tests of forward and of the emulator pass.

--- a/fleet/forward/admission.go
+++ b/fleet/forward/admission.go
@@ -105,10 +105,10 @@
 	return NoRoom
 }
 
-// hasRoom reports whether the answering upstream of least cost has no request of this VM
+// hasRoom reports whether the upstream that answers at the least cost has no request of this VM
 // in flight and has not rejected one of late.
 func (e *Engine) hasRoom(now clock.Millis, pl *placement) bool {
-	best := e.ranked(now, pl).answering.target
+	best := e.ranked(now, pl).usual()
 	return best != nil && best.load.inFlight.Load() <= 0 && now-clock.Millis(best.load.rejectedAt.Load()) > roomQuiet
 }
 
--- a/fleet/forward/candidate.go
+++ b/fleet/forward/candidate.go
@@ -51,13 +51,13 @@
 	if t.domain.avoided() { // includes domains that do not answer
 		return classAvoided
 	}
-	condition, standing := t.load.health.standing(now)
+	c, s := t.load.health.standing(now)
 	switch {
-	case condition != answering:
+	case c != answering:
 		return classSilent
-	case standing == recovering:
+	case s == recovering:
 		return classCold
-	case standing == unconfirmed:
+	case s == unconfirmed:
 		return classUnconfirmed
 	}
 	return classAnswering
--- a/fleet/forward/ranking.go
+++ b/fleet/forward/ranking.go
@@ -45,6 +45,15 @@
 	return r
 }
 
+// usual returns the upstream of a flow that is neither a probe nor subject to slow start, or
+// nil if there is none: the cheapest answering one, otherwise the cheapest unconfirmed one.
+func (r *ranking) usual() *target {
+	if r.answering.target != nil {
+		return r.answering.target
+	}
+	return r.unconfirmed.target
+}
+
 // prefersCold reports whether the cheapest cold candidate goes before all others, if
 // its rate permits.
 func (r *ranking) prefersCold() bool {
