forward: use recovering upstreams if no other answers

Cause: the failure of a path to all upstreams of a service was counted against each of them as a possible restart, and the rate of cold ones may be 0. Change: recovering upstreams are a class of their own. They get flows at the rate of cold ones, and at any rate if no answering or unconfirmed upstream is left. Why it works: a failed path is more likely than a restart of all upstreams at once. The other upstreams of a service protect one that restarted, as before.

--- a/fleet/forward/candidate.go
+++ b/fleet/forward/candidate.go
@@ -14,6 +14,9 @@
 	classCold
 	// classUnconfirmed candidates get flows if no answering one is left.
 	classUnconfirmed
+	// classRecovering candidates get flows at the rate of cold ones, and others if no
+	// answering or unconfirmed one is left.
+	classRecovering
 	// classSilent candidates get probing flows, and others if nothing else is left.
 	classSilent
 	// classAvoided candidates are treated like silent ones, since their whole failure
@@ -23,7 +26,7 @@
 
 // String returns the class as written to explanations.
 func (c class) String() string {
-	return [...]string{"answering", "cold", "unconfirmed", "silent", "avoided"}[c]
+	return [...]string{"answering", "cold", "unconfirmed", "recovering", "silent", "avoided"}[c]
 }
 
 // candidate is an upstream that is considered for a new flow.
@@ -56,7 +59,7 @@
 	case c != answering:
 		return classSilent
 	case s == recovering:
-		return classCold
+		return classRecovering
 	case s == unconfirmed:
 		return classUnconfirmed
 	}
--- a/fleet/forward/explain.go
+++ b/fleet/forward/explain.go
@@ -85,7 +85,7 @@
 		ID: t.entry.ID, Address: t.entry.Address, Domain: t.entry.Domain, Cost: c.cost,
 		Slowness: t.load.quality.slowness(),
 		InFlight: float64(sum.InFlight) / loadPerRequest, Expected: float64(sum.Expected) / loadPerRequest, Slots: t.entry.Slots,
-		Class: c.class.String(), Health: t.load.health.condition().String(), Cold: c.class == classCold,
+		Class: c.class.String(), Health: t.load.health.condition().String(), Cold: c.class == classCold || c.class == classRecovering,
 		Accepts: t.entry.AcceptsNewFlows(now), Closed: t.entry.ClosedReason(now),
 	}
 	x.OwnRejections, x.ExcessRejections = t.load.quality.rejections()
--- a/fleet/forward/explainedcandidate.go
+++ b/fleet/forward/explainedcandidate.go
@@ -29,16 +29,17 @@
 	Expected float64 `json:"expected"`
 	// Slots is the number of requests that the upstream processes concurrently.
 	Slots int `json:"slots"`
-	// Class is "answering", "cold", "unconfirmed", "silent" or "avoided". An unconfirmed
-	// upstream left a packet unanswered and may have restarted. An avoided one is in a
-	// failure domain that is lost or of which no VM is heard.
+	// Class is "answering", "cold", "unconfirmed", "recovering", "silent" or "avoided". An
+	// unconfirmed upstream left a packet unanswered, a recovering one was silent; either may
+	// have restarted. An avoided one is in a failure domain that is lost or of which no VM
+	// is heard.
 	Class string `json:"class"`
 	// Health is that of the upstream itself: "answering", "silent" or "lost".
 	Health string `json:"health"`
 	// ProbeDue is set if a flow would be placed to test whether the upstream, or its
 	// failure domain, answers again.
 	ProbeDue bool `json:"probeDue"`
-	// Cold is set during the slow start, and ColdShare if this VM may place a flow on
+	// Cold is set during a slow start, also of a recovering upstream, and ColdShare if this VM may place a flow on
 	// the cold upstream now.
 	Cold      bool `json:"cold"`
 	ColdShare bool `json:"coldShare"`
--- a/fleet/forward/place.go
+++ b/fleet/forward/place.go
@@ -140,7 +140,8 @@
 // if no upstream other than pl.except accepts the flow. It takes the probe or the share
 // of a cold upstream that the flow uses up, unless fx is simulated. It returns the best
 // cold upstream if that is cheaper than the best answering one and its rate permits,
-// otherwise the best answering upstream, and the best unconfirmed one if there is none.
+// otherwise the best answering upstream. If there is none, the best unconfirmed or recovering
+// one gets the flow.
 // Silent upstreams get a probing flow from time to time if probing is set, and if no other
 // upstream is left, the flow goes to a silent one nevertheless (panic threshold).
 func (e *Engine) choose(now clock.Millis, v *view, pl *placement, probing bool, fx *effects) (*target, Rule) {
@@ -155,8 +156,8 @@
 		return r.cold.target, RuleCold
 	case r.answering.target != nil:
 		return r.answering.target, RuleLowestCost
-	case r.unconfirmed.target != nil:
-		return r.unconfirmed.target, RuleUnconfirmed
+	case r.usual() != nil:
+		return r.usual(), RuleUnconfirmed
 	case r.silent.target != nil:
 		return r.silent.target, RulePanic
 	}
--- a/fleet/forward/ranking.go
+++ b/fleet/forward/ranking.go
@@ -5,7 +5,9 @@
 // ranking holds the cheapest candidates for a new flow. The target of a candidate is
 // nil if there is none.
 type ranking struct {
-	answering, cold, unconfirmed candidate
+	answering, unconfirmed, recovering candidate
+	// cold is the cheapest candidate, cold or recovering, whose rate of new flows is limited.
+	cold candidate
 	// silent is the cheapest silent or avoided candidate.
 	silent candidate
 	// probeDue is set if a silent or avoided candidate is due for a probe.
@@ -33,6 +35,11 @@
 			best = &r.cold
 		case classUnconfirmed:
 			best = &r.unconfirmed
+		case classRecovering:
+			best = &r.recovering
+			if c.cheaper(&r.cold) {
+				r.cold = c
+			}
 		case classSilent, classAvoided:
 			best = &r.silent
 			r.probeDue = r.probeDue || probeDue(now, t)
@@ -45,13 +52,16 @@
 	return r
 }
 
-// usual returns the upstream of a flow that is neither a probe nor subject to slow start, or
-// nil if there is none: the cheapest answering one, otherwise the cheapest unconfirmed one.
+// usual returns the cheapest upstream that is known to answer and gets flows at any rate, or
+// nil if there is none. If all of a service were silent, their path is more likely to have
+// failed than that all have restarted, so recovering ones are used rather than none.
 func (r *ranking) usual() *target {
-	if r.answering.target != nil {
-		return r.answering.target
+	for _, c := range [...]*candidate{&r.answering, &r.unconfirmed, &r.recovering} {
+		if c.target != nil {
+			return c.target
+		}
 	}
-	return r.unconfirmed.target
+	return nil
 }
 
 // prefersCold reports whether the cheapest cold candidate goes before all others, if
--- a/fleet/forward/recovery_test.go
+++ b/fleet/forward/recovery_test.go
@@ -92,6 +92,22 @@
 	assert.Assert(t, placedOn(e, crashed, backAt+testSlowStart+10, backAt+testSlowStart+1000) > 20)
 }
 
+// TestAllUpstreamsRecover guards against refused flows after a failure of the path to all
+// upstreams of a service, which all count as recovering then.
+func TestAllUpstreamsRecover(t *testing.T) {
+	e, crashed := recoveryEngine()
+	other := e.view.Load().serving["web"][1].entry.Token
+	for _, token := range []catalog.Token{crashed, other} {
+		stalls := []Stall{{Flow: 7, SentAt: crashAt + 500}, {Flow: 8, SentAt: crashAt + 500}}
+		e.MergeSuspicions(crashAt+700, []Suspicion{{Token: token, Stalls: stalls, Broadcast: true}})
+	}
+	used := make(map[catalog.Token]int)
+	for now := backAt; now < backAt+testSlowStart; now += 10 {
+		used[answersOpening(e, now, 1000+int(now))]++
+	}
+	assert.Assert(t, used[crashed] > 50 && used[other] > 50, "%v", used)
+}
+
 // TestSilenceWithoutRestart checks that an upstream gets new flows at once when a flow that
 // was open before its silence makes progress.
 func TestSilenceWithoutRestart(t *testing.T) {
--- a/fleet/forward/rule.go
+++ b/fleet/forward/rule.go
@@ -14,7 +14,7 @@
 	RuleCold Rule = "cold"
 	// RuleLowestCost means that no answering upstream costs less.
 	RuleLowestCost Rule = "lowestCost"
-	// RuleUnconfirmed means that only upstreams that may have restarted answer, and that
+	// RuleUnconfirmed means that all upstreams that answer may have restarted, and that
 	// none of them costs less.
 	RuleUnconfirmed Rule = "unconfirmed"
 	// RulePanic means that only silent and avoided upstreams accept the flow, and none
