emulator: restarts under one identifier with less traffic too

Cause: the test left out crashes that met fewer than three packets and drew at least 20 callers an upstream, while the traces only showed crashes that met no packet. Change: it draws 5 to 60 callers and leaves out crashes that met no packet.

--- a/standin/emulator/recovery_test.go
+++ b/standin/emulator/recovery_test.go
@@ -18,9 +18,6 @@
 	// allowedOvershoot and allowedSlack bound the flows that a cold upstream gets in one
 	// second: its rate times allowedOvershoot, and allowedSlack more.
 	allowedOvershoot, allowedSlack = 1.5, 5
-	// seenMisses is the number of opening packets that must meet a crash, so that VMs
-	// notice it. One is copied once or twice.
-	seenMisses = 3
 )
 
 // TestRestartUnderOneIdentifier draws fleets in which upstreams crash and start again
@@ -43,7 +40,7 @@
 		sim := New(s)
 		for _, d := range s.Domains {
 			l := shortLivedLoad(d.Name)
-			l.Callers = rapid.IntRange(20, 60).Draw(t, "callers") * d.Upstreams // a flow a second each
+			l.Callers = rapid.IntRange(5, 60).Draw(t, "callers") * d.Upstreams // a flow a second each
 			sim.Start(l)
 		}
 		restarted := sim.Upstreams[rapid.IntRange(0, len(sim.Upstreams)-1).Draw(t, "restarted")]
@@ -55,7 +52,7 @@
 			restarted.StartAgain()
 		})
 		sim.Run(crashAt + down + slowStart)
-		if restarted.Missed < seenMisses {
+		if restarted.Missed == 0 {
 			t.Skip("no VM can know of a crash that met no packet")
 		}
 		allowed := s.ColdPerSecond*allowedOvershoot + allowedSlack
