steering: keep open flows when a tick uses an earlier time

What callers saw: now and then, beside load, one open flow in a thousand was reset by an upstream that did not know it, in changes that break no flow.

Cause: idle times were differences of uint32 seconds. A tick reads the time once and then scans; an entry whose packet another goroutine handled in the next second had an idle time of 2^32 - 1 seconds and was removed. A SYN that was retransmitted while its upstream drained could be taken for a new connection in the same way.

Change: one function, elapsed, subtracts such times; it is zero if the stored time is later. No order of two goroutines can make a flow look older than it is.

--- a/fleet/steering/handle.go
+++ b/fleet/steering/handle.go
@@ -70,10 +70,9 @@
 		en.uncount()
 		return detour
 	}
-	at := e.seconds(now)
 	hash := shortHash(home)
-	if en.homeHash != hash || at-en.syncedAt >= uint32(e.limits.RefreshMillis/clock.Second) {
-		en.homeHash, en.syncedAt = hash, at
+	if en.homeHash != hash || e.elapsed(now, en.syncedAt) >= e.limits.RefreshMillis {
+		en.homeHash, en.syncedAt = hash, e.seconds(now)
 		en.uncount()
 		return detour
 	}
@@ -126,7 +125,7 @@
 	if en.hasAny(flagClosing) {
 		return true
 	}
-	old := e.seconds(now)-en.createdAt >= uint32(e.limits.HalfOpenMillis/clock.Second)
+	old := e.elapsed(now, en.createdAt) >= e.limits.HalfOpenMillis
 	return old && en.upstream.State() != Active
 }
 
--- a/fleet/steering/shard.go
+++ b/fleet/steering/shard.go
@@ -81,6 +81,16 @@
 	return uint32((now - e.start) / clock.Second)
 }
 
+// elapsed returns the time from at to now, in whole seconds. It is zero if at is
+// later: a goroutine may read the time before another one stores a later one.
+func (e *Engine) elapsed(now clock.Millis, at uint32) clock.Millis {
+	s := e.seconds(now)
+	if at > s {
+		return 0
+	}
+	return clock.Millis(s-at) * clock.Second
+}
+
 // count adds the flow to the count of its upstream unless it is already included.
 func (en *entry) count() {
 	if !en.hasAny(flagCounted) {
--- a/fleet/steering/steering_test.go
+++ b/fleet/steering/steering_test.go
@@ -342,6 +342,50 @@
 	assert.Equal(t, e.Flows(), int64(0))
 }
 
+// TestTickWithEarlierTimeKeepsFlows guards against open flows that are removed by a tick
+// whose time was read before a packet arrived: the flow looked idle for 136 years.
+func TestTickWithEarlierTimeKeepsFlows(t *testing.T) {
+	c := newCluster(t, 5, 6, 1)
+	list := c.open(200)
+	c.now += clock.Second - c.now%clock.Second
+	tick := c.now - 1
+	assert.Equal(t, c.countMoved(list), 0)
+	for range shardCount / shardsPerTick {
+		for _, e := range c.engines {
+			e.Tick(tick)
+		}
+	}
+	assert.Equal(t, c.countMoved(list), 0)
+	for _, f := range list {
+		known := false
+		for _, e := range c.engines {
+			known = known || e.shard(f.id).flows[f.id] != nil
+		}
+		assert.Assert(t, known, "no VM knows the flow")
+	}
+}
+
+// TestSYNWithEarlierTimeIsRetransmission guards against a retransmitted SYN that is
+// taken for a new connection, since the other goroutine placed the flow at a later
+// time.
+func TestSYNWithEarlierTimeIsRetransmission(t *testing.T) {
+	c := newCluster(t, 1, 2, 1)
+	f := c.newFlow()
+	c.now += clock.Second - c.now%clock.Second
+	c.send(f, packet.SYN)
+	first := f.at
+	c.configure(func(cfg *config.File) {
+		for i := range cfg.Services[0].Upstreams {
+			if u := &cfg.Services[0].Upstreams[i]; u.Address == first.String() {
+				u.State = config.UpstreamDrain
+			}
+		}
+	})
+	c.now--
+	c.send(f, packet.SYN)
+	assert.Equal(t, f.at, first)
+}
+
 // TestDuplicateAnswersCountOnce guards against flows that move to another upstream
 // when the network duplicates replies. A home that just started receives each
 // negative reply twice, and the replies of the VMs that know the flow last.
--- a/fleet/steering/tick.go
+++ b/fleet/steering/tick.go
@@ -99,7 +99,7 @@
 
 // expired reports whether the idle timeout of an entry has passed.
 func (e *Engine) expired(now clock.Millis, en *entry, atHome bool) bool {
-	idle := clock.Millis(e.seconds(now)-en.lastSeen) * clock.Second
+	idle := e.elapsed(now, en.lastSeen)
 	l := &e.limits
 	switch {
 	case en.hasAny(flagClosing):
@@ -126,19 +126,18 @@
 	if s == nil || s.history.Current().Pick(id) == en.upstream.ID {
 		return
 	}
-	at := e.seconds(now)
 	if !atHome {
-		e.handOverException(m, id, en, at)
+		e.handOverException(now, m, id, en)
 		return
 	}
-	if at-en.createdAt <= uint32(e.limits.CopyAfterMillis/clock.Second) {
+	if e.elapsed(now, en.createdAt) <= e.limits.CopyAfterMillis {
 		return // Times are truncated to seconds, so equality does not ensure the age.
 	}
 	hash := shortHash(m.view.Copy(id, 0)) ^ shortHash(m.view.Copy(id, 1)) ^ shortHash(m.view.Copy(id, 2))
-	if en.homeHash == hash && at-en.syncedAt < uint32(e.limits.CopyRepeatMillis/clock.Second) {
+	if en.homeHash == hash && e.elapsed(now, en.syncedAt) < e.limits.CopyRepeatMillis {
 		return
 	}
-	en.homeHash, en.syncedAt = hash, at
+	en.homeHash, en.syncedAt = hash, e.seconds(now)
 	for n := range homes.MaxCopies {
 		to := m.view.Copy(id, n)
 		switch {
@@ -153,16 +152,16 @@
 
 // handOverException sends an exception to the current home of the flow. It repeats
 // this, since the message may be lost, unless the entry is a copy.
-func (e *Engine) handOverException(m *members, id flow.ID, en *entry, at uint32) {
+func (e *Engine) handOverException(now clock.Millis, m *members, id flow.ID, en *entry) {
 	to := m.view.Home(id)
 	hash := shortHash(to)
 	if to == "" || !m.reachable(to) || en.hasAny(flagCopy) && en.homeHash == hash {
 		return
 	}
-	if en.homeHash == hash && at-en.syncedAt < uint32(handoverRepeatMillis/clock.Second) {
+	if en.homeHash == hash && e.elapsed(now, en.syncedAt) < handoverRepeatMillis {
 		return
 	}
-	en.homeHash, en.syncedAt = hash, at
+	en.homeHash, en.syncedAt = hash, e.seconds(now)
 	e.sendException(Message{To: to, Kind: Handover, ID: id, Upstream: en.upstream.ID})
 }
 
