steering: ask unreachable VMs before a flow is given to the table's upstream

What callers saw: when a VM stalled for some 0.4 to 1 s, open flows younger than 2 s were reset by an upstream that did not know them.

Cause: a VM that acts for a home that it cannot reach queried all VMs but the unreachable ones. Nobody else knew flows that the home had not copied yet, so the lookup table decided, 1 ms after the question.

Change: unreachable VMs that may have placed an open flow are queried too. If they do not reply, the packet is dropped until they have been unreachable for 1 s (steering.unreachableMillis) or are dead; then the table decides as before. It works since a VM that stalls replies before it can be reached by probes again, and since callers retransmit.

Weighed: waiting for all VMs whether or not they may have placed the flow; it delays the flows of healthy homes too.

--- a/fleet/steering/cluster_test.go
+++ b/fleet/steering/cluster_test.go
@@ -255,6 +255,19 @@
 	return n
 }
 
+// countMisrouted returns the number of flows whose next packet reaches another
+// upstream than theirs. A dropped packet reaches none.
+func (c *cluster) countMisrouted(list []*testFlow) (n int) {
+	for _, f := range list {
+		before := f.at
+		if c.send(f, packet.ACK); f.at != before {
+			n++
+		}
+		f.at = before
+	}
+	return n
+}
+
 func (c *cluster) loads() (maxOverMean, variation float64) {
 	loads := make(map[config.UpstreamID]float64)
 	for _, e := range c.engines {
--- a/fleet/steering/engine.go
+++ b/fleet/steering/engine.go
@@ -53,6 +53,10 @@
 	EstablishedSettleMillis clock.Millis `json:"midSettleMillis"`
 	// AskTimeoutMillis is the timeout of a query.
 	AskTimeoutMillis clock.Millis `json:"askTimeoutMillis"`
+	// UnreachableMillis is the time for which a VM may be unreachable before a
+	// packet of an established flow that only this VM may know is forwarded by the
+	// lookup table. Until then the packet is dropped.
+	UnreachableMillis clock.Millis `json:"unreachableMillis"`
 	// CopyAfterMillis is the age above which an exception, a flow whose upstream
 	// is not the table's pick, is copied to other VMs.
 	CopyAfterMillis clock.Millis `json:"copyAfterMillis"`
@@ -85,6 +89,7 @@
 		SettleMillis:            5 * clock.Second,
 		EstablishedSettleMillis: 60 * clock.Second,
 		AskTimeoutMillis:        150,
+		UnreachableMillis:       clock.Second,
 		CopyAfterMillis:         clock.Second,
 		CopyRepeatMillis:        300 * clock.Second,
 		CopiesPerSecond:         80,
@@ -99,13 +104,20 @@
 	live map[config.VMID]bool
 	// allLive lists the live VMs.
 	allLive []config.VMID
-	// unreachable are live VMs that this VM cannot reach directly now.
-	unreachable map[config.VMID]bool
+	// unreachableSince maps each live VM that this VM cannot reach directly to the
+	// time since which it cannot.
+	unreachableSince map[config.VMID]clock.Millis
 	// placerCandidates are the VMs that share the rate of a cold upstream.
 	placerCandidates []config.VMID
 }
 
-func (m *members) reachable(vm config.VMID) bool { return m.live[vm] && !m.unreachable[vm] }
+func (m *members) reachable(vm config.VMID) bool { return m.live[vm] && !m.unreachable(vm) }
+
+// unreachable reports whether vm is live but cannot be reached directly.
+func (m *members) unreachable(vm config.VMID) bool {
+	_, found := m.unreachableSince[vm]
+	return found && m.live[vm]
+}
 
 // unreachableHome returns the home of the flow if it cannot be reached directly, or
 // else the empty identifier.
@@ -277,13 +289,27 @@
 	e.updateMu.Lock()
 	defer e.updateMu.Unlock()
 	old := e.members.Load()
-	next := &members{view: old.view, live: setOf(m.Live), allLive: m.Live, unreachable: setOf(m.Unreachable), placerCandidates: m.PlacerCandidates}
+	next := &members{view: old.view, live: setOf(m.Live), allLive: m.Live, placerCandidates: m.PlacerCandidates}
+	next.unreachableSince = unreachableSince(now, old, m.Unreachable)
 	if !old.view.Ranking().SameVMs(m.Homes) {
 		next.view = old.view.WithVMs(now, m.Homes)
 	}
 	e.members.Store(next)
 }
 
+// unreachableSince maps each of vms to now, or to the earlier time since which it
+// has been unreachable.
+func unreachableSince(now clock.Millis, old *members, vms []config.VMID) map[config.VMID]clock.Millis {
+	since := make(map[config.VMID]clock.Millis, len(vms))
+	for _, vm := range vms {
+		since[vm] = now
+		if at, found := old.unreachableSince[vm]; found {
+			since[vm] = at
+		}
+	}
+	return since
+}
+
 func setOf(vms []config.VMID) map[config.VMID]bool {
 	set := make(map[config.VMID]bool, len(vms))
 	for _, vm := range vms {
--- a/fleet/steering/query.go
+++ b/fleet/steering/query.go
@@ -31,9 +31,10 @@
 	}
 	candidates := e.tableCandidates(s, p.ID)
 	ambiguous := len(candidates) > 1
-	if ambiguous || now-m.view.ChangedAt(p.ID) < e.limits.EstablishedSettleMillis {
-		recent := now-m.view.ChangedAt(p.ID) < e.limits.SettleMillis
+	changedLately := now-m.view.ChangedAt(p.ID) < e.limits.EstablishedSettleMillis
+	if ambiguous || changedLately || m.unreachableHome(p.ID) != "" {
 		_, lost := e.lostHome(now, m, p.ID)
+		recent := now-m.view.ChangedAt(p.ID) < e.limits.SettleMillis
 		includeCaches := ambiguous || recent || lost
 		if act, queried := e.queryPeers(now, sh, s, m, p, false, includeCaches); queried {
 			return act
@@ -91,14 +92,15 @@
 	return e.continueFlow(now, e.insert(now, sh, p, candidates[0]), p)
 }
 
-// queryPeers holds the packet and queries the VMs that may know its flow, and for
-// a new flow also an unreachable home, which places the flow if it replies. It
-// returns false if there is no VM to query. If maxPending queries are pending, it
-// drops the packet.
+// queryPeers holds the packet and queries the VMs that may know its flow. An
+// unreachable home that replies places a new flow. queryPeers returns false if there
+// is no VM to query. If maxPending queries are pending, it drops the packet.
 func (e *Engine) queryPeers(now clock.Millis, sh *shard, s *service, m *members, p *Packet, isNew, includeCaches bool) (Action, bool) {
 	targets := e.queryTargets(m, p.ID, includeCaches)
-	if home := m.unreachableHome(p.ID); isNew && home != "" {
-		targets = append(targets, home)
+	if isNew {
+		targets = appendUnreachable(m, targets, m.view.Home(p.ID))
+	} else {
+		targets = e.appendUnreachablePlacers(now, m, targets, p.ID, includeCaches)
 	}
 	if len(targets) == 0 {
 		return Action{}, false
@@ -148,6 +150,42 @@
 	return list
 }
 
+// appendUnreachablePlacers appends the VMs that this VM cannot reach and that may have
+// placed an established flow: those that rank before this one, the previous homes
+// and, if includeCaches is set, the VMs that became unreachable a short time ago. A VM
+// that was paused or is short of CPU replies once it runs again, before the others
+// find it reachable.
+func (e *Engine) appendUnreachablePlacers(now clock.Millis, m *members, list []config.VMID, id flow.ID, includeCaches bool) []config.VMID {
+	for n := range homes.Ranks {
+		vm := m.view.Rank(id, n)
+		if vm == e.self {
+			break
+		}
+		list = appendUnreachable(m, list, vm)
+	}
+	for _, vm := range m.view.PastHomes(id) {
+		list = appendUnreachable(m, list, vm)
+	}
+	if !includeCaches {
+		return list
+	}
+	for vm, since := range m.unreachableSince {
+		if now-since < e.limits.UnreachableMillis && len(list) < 2*maxQueryTargets {
+			list = appendUnreachable(m, list, vm)
+		}
+	}
+	return list
+}
+
+// appendUnreachable appends vm to list if it is live but cannot be reached directly,
+// and not in list yet.
+func appendUnreachable(m *members, list []config.VMID, vm config.VMID) []config.VMID {
+	if !m.unreachable(vm) || slices.Contains(list, vm) {
+		return list
+	}
+	return append(list, vm)
+}
+
 // Receive handles a message that arrives from another VM at now.
 func (e *Engine) Receive(now clock.Millis, from config.VMID, msg Message) {
 	r := e.routes.Load()
@@ -217,15 +255,28 @@
 		e.finishNewFlow(now, sh, s, p, query)
 		return
 	}
+	m := e.members.Load()
 	candidates := e.tableCandidates(s, id)
-	if len(candidates) == 0 || query.timedOut {
+	if len(candidates) == 0 || e.mayStillReply(now, m, query) {
 		e.release(Release{ID: id, Discard: true, Reason: Unresolved})
 		return
 	}
-	e.fallBack(now, sh, p, e.preferPreviousPick(now, s, e.members.Load(), id, candidates))
+	e.fallBack(now, sh, p, e.preferPreviousPick(now, s, m, id, candidates))
 	e.release(Release{ID: id})
 }
 
+// mayStillReply reports whether a VM that has not replied to the query can be
+// expected to reply to the next one: it is reachable, or it has been unreachable for
+// less than UnreachableMillis, so that it may only be paused.
+func (e *Engine) mayStillReply(now clock.Millis, m *members, query *flowQuery) bool {
+	for _, vm := range query.awaiting {
+		if m.reachable(vm) || m.unreachable(vm) && now-m.unreachableSince[vm] < e.limits.UnreachableMillis {
+			return true
+		}
+	}
+	return false
+}
+
 // finishNewFlow lets the home place a new flow if it replied, or else places it.
 func (e *Engine) finishNewFlow(now clock.Millis, sh *shard, s *service, p *Packet, query *flowQuery) {
 	if query.home != "" && query.hops <= maxHops {
--- a/fleet/steering/shard.go
+++ b/fleet/steering/shard.go
@@ -64,7 +64,6 @@
 	udp      bool
 	vni      config.VNI
 	awaiting []config.VMID // VMs that were queried and have not replied
-	timedOut bool
 	deadline clock.Millis
 	client   netip.AddrPort
 	port     uint16
--- a/fleet/steering/steering_test.go
+++ b/fleet/steering/steering_test.go
@@ -454,6 +454,61 @@
 	}
 }
 
+// TestYoungFlowsOfUnreachableHomeStay guards against resets of open flows whose home
+// cannot be reached for a moment, since it is paused or short of CPU. Another VM acts
+// for the home and does not know the flows that the home has not copied yet.
+func TestYoungFlowsOfUnreachableHomeStay(t *testing.T) {
+	tests := []struct {
+		name   string
+		silent clock.Millis // time for which the home does not reply
+	}{
+		{"home replies", 0},
+		{"home replies late", 100},
+		{"home is paused", 700},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := newCluster(t, 5, 6, 1)
+			list := c.open(400)
+			home := c.vms[2]
+			c.setUnreachable(home)
+			c.lost[home] = test.silent > 0
+			for end := c.now + test.silent; c.now < end; {
+				assert.Equal(t, c.countMisrouted(list), 0)
+				c.advance(100)
+			}
+			c.lost[home] = false
+			assert.Equal(t, c.countMisrouted(list), 0)
+			c.advance(2 * DefaultLimits().AskTimeoutMillis)
+			assert.Equal(t, c.countMoved(list), 0)
+		})
+	}
+}
+
+// TestFlowsOfLostHomeGoOn checks that the flows of a home that stays unreachable go on
+// after UnreachableMillis, on the upstreams that the lookup table gives.
+func TestFlowsOfLostHomeGoOn(t *testing.T) {
+	c := newCluster(t, 5, 6, 1)
+	list := c.open(400)
+	c.advance(5 * clock.Second) // The home copies its exceptions.
+	home := c.vms[2]
+	c.setUnreachable(home)
+	c.lost[home] = true
+	c.advance(DefaultLimits().UnreachableMillis)
+	for range 2 { // The first packet of a flow causes a query.
+		for _, f := range list {
+			before := f.at
+			c.sendVia(f, packet.ACK, c.vms[0])
+			assert.Equal(t, f.at, before)
+		}
+		c.advance(2 * DefaultLimits().AskTimeoutMillis)
+	}
+	for _, f := range list {
+		act, _ := c.sendVia(f, packet.ACK, c.vms[0])
+		assert.Equal(t, act.Kind, Forward)
+	}
+}
+
 // TestUnreachableHomeIsReplaced checks that another VM places the flows of an
 // unreachable home that does not reply.
 func TestUnreachableHomeIsReplaced(t *testing.T) {
--- a/fleet/steering/tick.go
+++ b/fleet/steering/tick.go
@@ -46,7 +46,6 @@
 			if now < query.deadline {
 				continue
 			}
-			query.timedOut = true
 			if s := r.services[query.vni]; s != nil {
 				e.finishQuery(now, sh, s, id, query)
 				continue
