membership: tell suspects at once and spread refutations at once

What callers saw: a VM that had been paused for 0.8 s and ran again was declared dead by three of eight VMs, and four of its young flows were reset.

Cause: a suspect has 1 s to refute. It heard of the suspicion when a VM that shared it happened to probe it, and the refutation spread with the periodic probes. Both together take about 1 s.

Change: who begins to suspect a VM probes it at once, with the suspicion, and who refutes probes up to 32 random VMs at once. The refutation no longer depends on the period of the probes.

Cost: 32 probes and answers for each refutation, about 20 KB; a dead VM is found as before.

--- a/fleet/membership/list.go
+++ b/fleet/membership/list.go
@@ -45,6 +45,9 @@
 	// unreachableProbes is the number of consecutive unanswered direct probes after
 	// which a VM that others consider alive counts as unreachable from this one.
 	unreachableProbes = 2
+	// refutationProbes is the maximum number of VMs that are probed at once to spread the
+	// refutation of a suspicion.
+	refutationProbes = 32
 	// deadEvery sends every n-th probe to a dead VM, to detect that a partition has
 	// healed.
 	deadEvery = 5
@@ -81,7 +84,11 @@
 	nextProbeAt clock.Millis
 	rounds      int
 	changed     bool
-	probeQueue  map[bool][]config.VMID // VMs yet to be probed in this cycle; key true for remote failure domains
+	// refuted is set while a refutation is not sent yet; at most one is sent per
+	// probe period, not before nextRefutationAt.
+	refuted          bool
+	nextRefutationAt clock.Millis
+	probeQueue       map[bool][]config.VMID // VMs yet to be probed in this cycle; key true for remote failure domains
 }
 
 // New returns the list of VM self, which starts at now and knows no other VM yet.
@@ -148,6 +155,7 @@
 func (l *List) Tick(now clock.Millis) (out []Envelope) {
 	out = l.checkProbes(now, out)
 	l.checkMembers(now)
+	out = l.sendRefutation(now, out)
 	if now < l.nextProbeAt {
 		return out
 	}
--- a/fleet/membership/membership_test.go
+++ b/fleet/membership/membership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -18,12 +19,13 @@
 	lists map[config.VMID]*List
 	cut   func(from, to config.VMID) bool
 	sent  map[config.VMID]int
+	rng   *rand.Rand
 }
 
 func newNet(t *testing.T, domains, perDomain int) *net {
 	n := &net{
 		t: t, now: 1_000_000, lists: make(map[config.VMID]*List), sent: make(map[config.VMID]int),
-		cut: func(_, _ config.VMID) bool { return false },
+		cut: func(_, _ config.VMID) bool { return false }, rng: rand.New(rand.NewPCG(1, 4)),
 	}
 	for d := range domains {
 		for i := range perDomain {
--- a/fleet/membership/probe.go
+++ b/fleet/membership/probe.go
@@ -83,6 +83,7 @@
 			delete(l.probes, seq)
 			if p.origin == "" && m.state == Alive {
 				l.setState(now, m, m.incarnation, Suspect, m.home)
+				out = append(out, l.probe(now, p.to, "", 0)) // tells the VM, which may refute
 			}
 		}
 	}
--- a/fleet/membership/updates.go
+++ b/fleet/membership/updates.go
@@ -64,7 +64,7 @@
 	case Ack:
 		out = l.handleAck(msg, m, out)
 	}
-	return out, true
+	return l.sendRefutation(now, out), true
 }
 
 // mergeUpdate applies an update about a member if it overrides the known state. An
@@ -89,9 +89,26 @@
 func (l *List) refute(u Update) {
 	if u.Incarnation >= l.incarnation && (u.State != l.state || u.Home != l.home) {
 		l.incarnation = u.Incarnation + 1
+		l.refuted = true
 	}
 }
 
+// sendRefutation probes up to refutationProbes random VMs if a wrong update was refuted.
+// Within the time to refute a suspicion, the periodic probes alone may not reach the
+// VMs that share it.
+func (l *List) sendRefutation(now clock.Millis, out []Envelope) []Envelope {
+	if !l.refuted || now < l.nextRefutationAt {
+		return out
+	}
+	l.refuted, l.nextRefutationAt = false, now+l.timers.ProbeMillis
+	ids := l.matching(func(m *member) bool { return m.state <= Leaving && m.lastHeard != 0 })
+	l.rng.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	for _, id := range ids[:min(refutationProbes, len(ids))] {
+		out = append(out, l.probe(now, id, "", 0))
+	}
+	return out
+}
+
 // Updates returns the known state of all VMs, including this one, for a VM that
 // starts.
 func (l *List) Updates() (list []Update) {
