tracing: name the client in spans of packets

Cause: a caller's report names an address, and the spans of its flow could not be found by it. Change: spans of packets have the attribute client.

--- a/amaranthd/tracing/tracer.go
+++ b/amaranthd/tracing/tracer.go
@@ -96,7 +96,7 @@
 	}
 	_, span := t.tracer.Start(flowContext(p.ID), hopName(p, act))
 	span.SetAttributes(
-		attribute.Int("vni", int(p.VNI)), attribute.String("from", string(p.From)),
+		attribute.Int("vni", int(p.VNI)), attribute.String("client", p.Src.String()), attribute.String("from", string(p.From)),
 		attribute.Int("hops", int(p.Hops)), attribute.String("action", act.Kind.String()),
 		attribute.String("to", actionTarget(act)),
 	)
