catalog: count heartbeats of a returned domain only while the copy is confirmed

What callers saw: a failure domain was taken back and the store fell silent. Its cold upstreams got more flows in a second than they bear, 2 s after the return.

Cause: after two heartbeats without an entry that says cold, an upstream counted as warm, also while no entry could be written or read.

Change: catalog.restoration. The two heartbeats count while the copy is at most one heartbeat old; after an outage they begin again. The upstreams stay cold for the slow start time since the return at most: what became cold before it is warm by then. Now the absence of an entry is evidence only for the time in which there could have been one.

Cost: nothing while the store answers; after an outage of 5 s the domain is cold for 7 s instead of 2 s.

--- a/amaranthd/entry/peers.go
+++ b/amaranthd/entry/peers.go
@@ -215,6 +215,7 @@
 	now := p.clk.Now()
 	p.sendProbe(now)
 	p.replicator.expireKept()
+	p.replicator.confirmRestored()
 	local := p.replicator.localCopy()
 	loads := loadsToGossip(p.engine.Loads())
 	p.mu.Lock()
--- a/fleet/catalog/builder.go
+++ b/fleet/catalog/builder.go
@@ -16,13 +16,13 @@
 	decode Decode
 	// reject is called with each malformed item.
 	reject func(item replica.Item, err error)
-	// returnColdMillis is how long the upstreams of a failure domain that
-	// returns to service count as cold, until they publish their own state.
+	// returnColdMillis is how long the upstreams of a failure domain that returns to
+	// service count as cold while the copy is kept up to date: two heartbeats.
 	returnColdMillis clock.Millis
 
 	upstreams  map[replica.Key]*Entry
 	domainsOut map[replica.Key]ident.DomainName
-	restoredAt map[ident.DomainName]clock.Millis
+	restored   map[ident.DomainName]*restoration
 	config     *Config
 
 	// staleTime is how long an entry that may be stale stays without effect.
@@ -43,7 +43,7 @@
 		returnColdMillis: returnColdMillis,
 		upstreams:        make(map[replica.Key]*Entry),
 		domainsOut:       make(map[replica.Key]ident.DomainName),
-		restoredAt:       make(map[ident.DomainName]clock.Millis),
+		restored:         make(map[ident.DomainName]*restoration),
 		staleTime:        defaultStaleTime,
 		known:            make(map[replica.Key]knownItem),
 		kept:             make(map[replica.Key]keptItem),
@@ -126,7 +126,7 @@
 func (b *Builder) remove(now clock.Millis, item replica.Item) {
 	if domain, ok := b.domainsOut[item.Key]; ok {
 		delete(b.domainsOut, item.Key)
-		b.restoredAt[domain] = now - item.Age
+		b.restore(domain, now-item.Age)
 		return
 	}
 	e := b.upstreams[item.Key]
@@ -149,7 +149,7 @@
 	case change.Upstream != nil:
 		b.upstreams[item.Key] = &Entry{Upstream: *change.Upstream, Created: item.Created, Removed: true, RemovedAt: now - item.Age}
 	case change.DomainOut != "":
-		b.restoredAt[change.DomainOut] = max(b.restoredAt[change.DomainOut], now-item.Age)
+		b.restore(change.DomainOut, now-item.Age)
 	}
 }
 
@@ -209,9 +209,11 @@
 	for _, e := range b.upstreams {
 		added := *e
 		added.DomainOut = slices.Contains(c.domainsOut, e.Domain)
-		if at, ok := b.restoredAt[e.Domain]; ok {
-			added.ColdUntil = max(added.ColdUntil, at+b.returnColdMillis)
+		slowStart := clock.Millis(0)
+		if s := c.services[e.Service]; s != nil {
+			slowStart = s.SlowStartMillis
 		}
+		added.ColdUntil = max(added.ColdUntil, b.restoredColdUntil(e.Domain, slowStart))
 		entries = append(entries, &added)
 	}
 	c.assignTokens(entries)
--- a/fleet/catalog/catalog_test.go
+++ b/fleet/catalog/catalog_test.go
@@ -119,6 +119,52 @@
 	}
 }
 
+// TestRestoredDomainWithoutTheStore guards against cold upstreams of a failure domain that
+// returned to service which count as warm after two heartbeats, although the publisher
+// did not answer and they could not publish that they are cold.
+func TestRestoredDomainWithoutTheStore(t *testing.T) {
+	const returnCold, slowStart = 2000, 10_000
+	tests := []struct {
+		name string
+		// outage is the time for which the publisher is silent after the VM learned of the
+		// return, lag the age of the copy while it is not, and age that of the tombstone.
+		outage, lag, age clock.Millis
+		cold             clock.Millis // time for which the upstream counts as cold
+	}{
+		{"publisher answers", 0, 0, 0, returnCold},
+		{"copy lags", 0, 900, 0, returnCold},
+		{"silence shorter than a heartbeat", 800, 0, 0, returnCold},
+		{"silence of 5 s", 5000, 0, 0, 5000 + returnCold},
+		{"silence of 5 s, and a VM that starts in it", 5000, 0, 2000, 5000 + returnCold},
+		{"silence until the slow start is over", 20_000, 0, 0, slowStart},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := NewBuilder(decodeWords, func(replica.Item, error) {}, returnCold)
+			b.Apply(4000, []replica.Item{item(1, "config", "1"), item(2, "u", "web a"), item(3, "v", "web b")}, false)
+			b.config.Services = []Service{{Name: "web", SlowStartMillis: slowStart}}
+			tombstone := removedItem(5, "out/a", "{}")
+			tombstone.Age = test.age
+			b.Apply(5000, []replica.Item{tombstone}, false)
+			warm := clock.Millis(0)
+			for now := clock.Millis(5000); now < 40_000; now += 50 {
+				confirmed := now - test.lag
+				if now-5000 < test.outage {
+					confirmed = 5000 - test.age
+				}
+				b.ConfirmRestored(now, confirmed)
+				list := b.Build(5).Serving("web")
+				assert.Equal(t, list[1].ColdUntil, clock.Millis(0))
+				if now >= list[0].ColdUntil && warm == 0 {
+					warm = now
+				}
+				assert.Assert(t, warm == 0 || now >= list[0].ColdUntil, "warm at %d, cold again at %d", warm, now)
+			}
+			assert.Equal(t, warm-5000, test.cold)
+		})
+	}
+}
+
 // TestNoGraceForUpstreamsNeverPublished learns of an upstream only by its removal, from
 // the copy of another VM, after the publisher was away. Open flows to it are forwarded,
 // but it must get no new ones.
