--- a/amaranthd/entry/kept.go
+++ b/amaranthd/entry/kept.go
@@ -30,16 +30,6 @@
 	}
 }
 
-// confirmRestored passes the age of the copy to the builder, since upstreams of a failure
-// domain that returned to service count as cold longer if the copy is out of date.
-func (r *replicator) confirmRestored() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.builder.ConfirmRestored(r.clk.Now(), clock.Millis(r.confirmedAt.Load())) {
-		r.scheduleBuild()
-	}
-}
-
 // keptItems returns the items that this VM keeps in force since the source came back from
 // an older copy.
 func (r *replicator) keptItems() []catalog.Kept {
--- a/fleet/membership/list.go
+++ b/fleet/membership/list.go
@@ -170,9 +170,7 @@
 // Push returns probes to up to n random living VMs of the local failure domain. They
 // spread an update without waiting for the next probe period.
 func (l *List) Push(now clock.Millis, n int) (out []Envelope) {
-	ids := l.matching(func(m *member) bool { return m.state == Alive && m.vm.Domain == l.self.Domain })
-	l.rng.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
-	for _, id := range ids[:min(n, len(ids))] {
+	for _, id := range l.sample(n, func(m *member) bool { return m.state == Alive && m.vm.Domain == l.self.Domain }) {
 		out = append(out, l.probe(now, id, "", 0))
 	}
 	return out
@@ -182,11 +180,9 @@
 // failure domain and the rest to others. The replies tell a starting VM which
 // configuration is active.
 func (l *List) Join(now clock.Millis, n int) (out []Envelope) {
-	near := l.matching(func(m *member) bool { return m.vm.Domain == l.self.Domain })
-	far := l.matching(func(m *member) bool { return m.vm.Domain != l.self.Domain })
-	l.rng.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
-	l.rng.Shuffle(len(far), func(i, j int) { far[i], far[j] = far[j], far[i] })
-	ids := append(near[:min(n/2, len(near))], far...)
+	near := l.sample(n/2, func(m *member) bool { return m.vm.Domain == l.self.Domain })
+	far := l.sample(n, func(m *member) bool { return m.vm.Domain != l.self.Domain })
+	ids := append(near, far...)
 	for _, id := range ids[:min(n, len(ids))] {
 		out = append(out, l.probe(now, id, "", 0))
 	}
@@ -196,12 +192,15 @@
 // Announce returns probes to all VMs that are not dead and that were heard at least
 // once. They are sent before this VM stops.
 func (l *List) Announce(now clock.Millis) (out []Envelope) {
-	for _, id := range l.matching(func(m *member) bool { return m.state <= Leaving && m.lastHeard != 0 }) {
+	for _, id := range l.matching(mayHear) {
 		out = append(out, l.probe(now, id, "", 0))
 	}
 	return out
 }
 
+// mayHear reports whether m is not dead and was heard at least once.
+func mayHear(m *member) bool { return m.state <= Leaving && m.lastHeard != 0 }
+
 // matching returns the identifiers of the members that satisfy keep, in order.
 func (l *List) matching(keep func(*member) bool) (ids []config.VMID) {
 	for id, m := range l.members {
@@ -213,6 +212,13 @@
 	return ids
 }
 
+// sample returns the identifiers of up to n random members that satisfy keep.
+func (l *List) sample(n int, keep func(*member) bool) []config.VMID {
+	ids := l.matching(keep)
+	l.rng.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	return ids[:min(n, len(ids))]
+}
+
 // checkMembers declares suspects dead whose time to refute is over, and removes
 // members that are neither listed nor answering.
 func (l *List) checkMembers(now clock.Millis) {
--- a/fleet/membership/probe.go
+++ b/fleet/membership/probe.go
@@ -92,9 +92,8 @@
 
 // probeIndirectly asks other living VMs to probe target.
 func (l *List) probeIndirectly(target config.VMID, seq uint64, out []Envelope) []Envelope {
-	ids := l.matching(func(m *member) bool { return m.state == Alive && m.vm.ID != target && m.failedProbes == 0 })
-	l.rng.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
-	for _, id := range ids[:min(indirectProbes, len(ids))] {
+	others := func(m *member) bool { return m.state == Alive && m.vm.ID != target && m.failedProbes == 0 }
+	for _, id := range l.sample(indirectProbes, others) {
 		out = append(out, Envelope{To: l.members[id].vm, Msg: l.message(PingRequest, seq, target)})
 	}
 	return out
--- a/fleet/membership/updates.go
+++ b/fleet/membership/updates.go
@@ -101,9 +101,7 @@
 		return out
 	}
 	l.refuted, l.nextRefutationAt = false, now+l.timers.ProbeMillis
-	ids := l.matching(func(m *member) bool { return m.state <= Leaving && m.lastHeard != 0 })
-	l.rng.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
-	for _, id := range ids[:min(refutationProbes, len(ids))] {
+	for _, id := range l.sample(refutationProbes, mayHear) {
 		out = append(out, l.probe(now, id, "", 0))
 	}
 	return out
