--- /dev/null
+++ b/review/standins-3/cases.go
@@ -0,0 +1,307 @@
+package main
+
+import (
+	"fmt"
+	"syscall"
+	"time"
+)
+
+// testCase is one case of the review.
+type testCase struct {
+	options options
+	play    func(w *world, trouble bool) (broken bool)
+}
+
+var cases = map[string]testCase{
+	"route": {play: playRoute},
+	"evac":  {options: options{era: 1}, play: playEvac},
+	"cold":  {options: options{archiveIn: "hue-a"}, play: playCold},
+	"flow":  {options: options{linked: true}, play: playFlow},
+	"era":   {options: options{era: 1_765_000_000}, play: playEra},
+}
+
+// sleepUntil waits until the given second of the traffic.
+func (w *world) sleepUntil(second float64) {
+	time.Sleep(time.Until(w.rec.begin.Add(time.Duration(second * float64(time.Second)))))
+}
+
+// services returns the service of each route.
+func (w *world) serviceOf(o opening) string {
+	if o.route == w.scan.route {
+		return "archive"
+	}
+	return "atelier"
+}
+
+// playRoute: an endpoint of atelier drains and leaves, and its address goes to an endpoint
+// of archive. Then an entry of another writer, whose fields are spelled otherwise, names
+// that address as one of atelier.
+func playRoute(w *world, trouble bool) bool {
+	w.sleepUntil(2)
+	old := w.endpoints[0]
+	address := old.conn.LocalAddr().String()
+	old.drain()
+	w.rec.note("endpoint %s at %s is confirmed as draining", old.id, address)
+	w.sleepUntil(7)
+	old.leave()
+	w.sleepUntil(10) // addrReuseS is 2
+	e, err := w.startEndpoint("i-00aa11bb22", "archive", old.zone, address, true)
+	if err != nil {
+		w.rec.note("could not start: %v", err)
+		return false
+	}
+	w.rec.note("endpoint %s of archive starts at that address", e.id)
+	w.sleepUntil(14)
+	if trouble {
+		value := fmt.Sprintf(`{"Service":"atelier","Address":%q,"Zone":%q,"Version":"v0","MaxConcurrency":2,"State":"ready","WarmupLeftMs":0,"Sequence":7}`, address, old.zone)
+		w.storeNow().put("servers/i-0000000000", []byte(value))
+		w.rec.note("another writer writes servers/i-0000000000: %s", value)
+	}
+	w.sleepUntil(20)
+	wrong := 0
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	byID := map[string]bool{}
+	for _, o := range w.openings {
+		if o.endpoint.service != w.serviceOf(o) {
+			wrong++
+			byID[o.endpoint.id] = true
+		}
+	}
+	w.rec.note("flows that an endpoint of a service took to which the configuration never sent their route: %d", wrong)
+	return wrong > 0
+}
+
+const (
+	evacMs      = 5000 * time.Millisecond
+	stabilityMs = 4000 * time.Millisecond
+)
+
+// playEvac: a zone is evacuated. The store is away for half a second and comes back from a
+// copy from before that. The sysadmin writes the evacuation again eight seconds later.
+func playEvac(w *world, trouble bool) bool {
+	const zone = "hue-a"
+	w.sleepUntil(3)
+	w.storeNow().put("op/evacuate/"+zone, []byte("{}"))
+	confirmed := time.Now()
+	w.rec.note("the evacuation of %s is confirmed", zone)
+	w.sleepUntil(9)
+	copied := time.Now().Add(-7 * time.Second)
+	back := time.Now()
+	if trouble {
+		s := w.storeNow()
+		s.setMode(storeAway)
+		time.Sleep(500 * time.Millisecond)
+		s.rollBack(copied)
+		s.setMode(storeUp)
+		back = time.Now()
+		w.rec.note("the store is back from a copy that is 7 s old")
+	}
+	w.sleepUntil(9.5 + 8)
+	w.storeNow().put("op/evacuate/"+zone, []byte("{}"))
+	again := time.Now()
+	w.rec.note("the sysadmin has written the evacuation again")
+	w.sleepUntil(20)
+	inTouch := back.Add(stabilityMs)
+	n, first := 0, time.Time{}
+	for _, o := range w.allOpenings() {
+		if o.endpoint.zone == zone && o.arrived.After(confirmed.Add(evacMs)) && o.arrived.After(inTouch) && o.arrived.Before(again) {
+			if n == 0 {
+				first = o.arrived
+			}
+			n++
+		}
+	}
+	if n > 0 {
+		w.rec.note("first at %.3f s", w.rec.seconds(first))
+	}
+	w.rec.note("flows that endpoints of %s took later than evacMs after the confirmation, from machines in touch: %d", zone, n)
+	return n > 0
+}
+
+// playCold: the store answers nothing for 4.5 s. Meanwhile all endpoints of a zone, among
+// them all of archive, are down and dark for 1.5 s and start again together, cold, under the
+// ids that they had.
+func playCold(w *world, trouble bool) bool {
+	w.sleepUntil(4)
+	if trouble {
+		w.storeNow().setMode(storeSilent)
+		w.rec.note("the store is silent")
+		w.sleepUntil(4.5)
+		w.restartZone("hue-a", 1500*time.Millisecond)
+		w.sleepUntil(8.5)
+		w.storeNow().setMode(storeUp)
+		w.rec.note("the store is up")
+	}
+	w.sleepUntil(12)
+	return w.coldBroken()
+}
+
+// restartZone crashes all endpoints of a zone and starts them again.
+func (w *world) restartZone(zone string, dark time.Duration) {
+	var list []*endpoint
+	for _, e := range w.endpoints {
+		if e.zone == zone {
+			list = append(list, e)
+		}
+	}
+	for _, e := range list {
+		e.crash()
+	}
+	w.rec.note("%d endpoints of %s are down", len(list), zone)
+	time.Sleep(dark)
+	for _, e := range list {
+		e.start(true)
+	}
+	w.rec.note("they start again under their ids")
+}
+
+// coldBroken checks FAILBACK: a cold endpoint gets no more than
+// warmupPerS x warmupOvershoot + warmupSlack requests in one second.
+func (w *world) coldBroken() bool {
+	limit := int(w.perCold*1.5 + 5)
+	worst, who := 0, ""
+	all := w.allOpenings()
+	for i, first := range all {
+		if !first.cold {
+			continue
+		}
+		n := 0
+		for _, o := range all[i:] {
+			if o.arrived.Sub(first.arrived) > time.Second {
+				break
+			}
+			if o.endpoint == first.endpoint && o.boot == first.boot && o.cold && !o.sent.Before(first.sent) && o.arrived.Sub(first.sent) <= time.Second {
+				n++
+			}
+		}
+		if n > worst {
+			worst, who = n, fmt.Sprintf("%s from %.3f s on", first.endpoint.id, w.rec.seconds(first.arrived))
+		}
+	}
+	w.rec.note("most requests in one second at a cold endpoint: %d (%s), limit %d", worst, who, limit)
+	return worst > limit
+}
+
+// flowRounds is how often the steps of playFlow are played.
+const flowRounds = 3
+
+// playFlow: in each round the machine that watches the store for the others is partitioned
+// from them for 5 s. At once a new version of the configuration adds a route, and that
+// machine is stopped, as one of a rolling restart.
+func playFlow(w *world, trouble bool) bool {
+	routes := w.baseRoutes()
+	n := 0
+	for round := range flowRounds {
+		w.sleepUntil(2 + 12*float64(round))
+		reader := w.reader()
+		if reader == nil {
+			w.rec.note("no machine watches the store")
+			continue
+		}
+		k := &class{name: "palette-new", route: w.routeAddr(10+round, 8443), method: "GET", safe: true, long: true, budget: 800 * time.Millisecond}
+		routes = append(routes, routeConfig{fmt.Sprintf("r-new-%d", round), k.route, "safe", "atelier", k.budget})
+		n += w.playFlowRound(reader, k, routes, trouble)
+	}
+	w.sleepUntil(2 + 12*flowRounds)
+	w.rec.note("open flows that machines in touch reset: %d", n)
+	return n > 0
+}
+
+func (w *world) reader() *machine {
+	for _, m := range w.machines {
+		if m.isReader() {
+			return m
+		}
+	}
+	return nil
+}
+
+// playFlowRound returns the number of open flows that machines in touch reset.
+func (w *world) playFlowRound(reader *machine, k *class, routes []routeConfig, trouble bool) (n int) {
+	begin := time.Now()
+	stop := make(chan struct{})
+	defer close(stop)
+	if trouble {
+		w.links.setCut(reader.ip, true)
+		w.rec.note("%s, which watches the store, is partitioned from the other machines", reader.node)
+	}
+	reader.signal(syscall.SIGTERM)
+	w.rec.note("%s gets SIGTERM", reader.node)
+	time.Sleep(20 * time.Millisecond)
+	confirmed := w.configure(routes)
+	w.rec.note("the configuration with one more route, %s, is confirmed", k.route)
+	for _, c := range w.consumers {
+		for range 20 {
+			go c.user(k, stop)
+		}
+	}
+	if !reader.wait(6 * time.Second) {
+		reader.kill()
+	}
+	if err := reader.start(); err != nil {
+		w.rec.note("could not start %s: %v", reader.node, err)
+	}
+	time.Sleep(time.Until(begin.Add(5 * time.Second)))
+	w.links.setCut(reader.ip, false)
+	time.Sleep(time.Until(begin.Add(7 * time.Second)))
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, r := range w.resets {
+		if r.own && r.at.After(confirmed) && r.flow.route == k.route && r.vm != reader.node {
+			n++
+			w.rec.log("at %.3f s %s reset the open flow %s to %s, whose endpoint lives", w.rec.seconds(r.at), r.vm, r.flow.consumer, r.flow.route)
+		}
+	}
+	w.rec.note("open flows that machines in touch reset in this round: %d", n)
+	return n
+}
+
+const (
+	configApplyMs = 3000 * time.Millisecond
+	drainMs       = 3000 * time.Millisecond
+)
+
+// playEra: the store, whose header Store-Era holds a large number, is away for half a second
+// and comes back from a copy that is 5 s old; eight changes of the configuration are lost with
+// it, and the sysadmin writes the last one again. Six seconds later an endpoint drains and
+// a version drops a route.
+func playEra(w *world, trouble bool) bool {
+	w.sleepUntil(2)
+	for range 8 {
+		w.configure(w.baseRoutes())
+		time.Sleep(330 * time.Millisecond)
+	}
+	w.sleepUntil(6)
+	if trouble {
+		s := w.storeNow()
+		s.setMode(storeAway)
+		time.Sleep(500 * time.Millisecond)
+		s.rollBack(time.Now().Add(-5 * time.Second))
+		s.setMode(storeUp)
+		w.rec.note("the store is back from a copy that is 5 s old")
+		time.Sleep(500 * time.Millisecond)
+		w.version -= 3
+		w.configure(w.baseRoutes())
+		w.rec.note("the sysadmin has written version %d again", w.version)
+	}
+	w.sleepUntil(12)
+	leaving := w.endpoints[0]
+	drained := leaving.drain()
+	w.rec.note("endpoint %s is confirmed as draining", leaving.id)
+	confirmed := w.configure(w.baseRoutes()[:2])
+	w.rec.note("version %d, which drops the route %s, is confirmed", w.version, w.scan.route)
+	w.sleepUntil(20)
+	late, dropped := 0, 0
+	for _, o := range w.allOpenings() {
+		if o.endpoint == leaving && o.arrived.After(drained.Add(drainMs)) {
+			late++
+		}
+		if o.route == w.scan.route && o.sent.After(confirmed.Add(configApplyMs)) {
+			dropped++
+		}
+	}
+	w.rec.note("flows that the draining endpoint took later than drainMs after the confirmation (DRAIN): %d", late)
+	w.rec.note("flows of the dropped route that were sent and taken later than configApplyMs after the confirmation (CONFIG): %d", dropped)
+	return dropped > 0
+}
