Make review case 13 one of a process that starts beside a reborn endpoint

Cause: a process that starts asks one older process, of any failure domain, which endpoints recover from a silence. One of another domain does not know, so the new process takes a cold endpoint with an old entry for warm. Change: the case takes the place of the one on Store-Era, which stays in the stand-ins as era.

--- a/review/standins-3/cases.go
+++ b/review/standins-3/cases.go
@@ -17,6 +17,7 @@
 	"back":  {options: options{trentfeed: true}, play: playTakeBack},
 	"cold":  {options: options{archiveIn: "hue-a"}, play: playCold},
 	"flow":  {options: options{linked: true}, play: playFlow},
+	"start": {options: options{trentfeed: true}, play: playStart},
 	"era":   {options: options{era: 1_765_000_000}, play: playEra},
 }
 
@@ -107,17 +108,47 @@
 // restartAll kills all machines' processes and starts them again after a delay.
 func (w *world) restartAll(delay time.Duration) {
 	for _, m := range w.machines {
-		go func() {
-			m.kill()
-			time.Sleep(delay)
-			if err := m.start(); err != nil {
-				w.rec.note("could not start %s: %v", m.node, err)
-			}
-		}()
+		w.restart(m, delay)
 	}
 	w.rec.note("all processes are killed")
 }
 
+// restart kills the process of a machine and starts it again after a delay.
+func (w *world) restart(m *machine, delay time.Duration) {
+	go func() {
+		m.kill()
+		time.Sleep(delay)
+		if err := m.start(); err != nil {
+			w.rec.note("could not start %s: %v", m.node, err)
+		}
+	}()
+}
+
+// playStart: an endpoint is cut off from the store for 5 s. It crashes, is dark for half a second
+// and starts again under its id, cold. A fifth of a second later the process of one machine in its
+// zone is killed, and the platform starts it again.
+func playStart(w *world, trouble bool) bool {
+	reborn, killed := w.endpoints[1], w.machines[3]
+	w.sleepUntil(4)
+	reborn.setCutOff(true)
+	w.rec.note("endpoint %s of %s is cut off from the store", reborn.id, reborn.zone)
+	w.sleepUntil(4.4)
+	reborn.crash()
+	w.rec.note("it crashes")
+	w.sleepUntil(4.9)
+	reborn.start(true)
+	w.rec.note("it starts again under its id")
+	w.sleepUntil(5.1)
+	if trouble {
+		w.restart(killed, 100*time.Millisecond)
+		w.rec.note("the process of %s is killed", killed.node)
+	}
+	w.sleepUntil(9)
+	reborn.setCutOff(false)
+	w.sleepUntil(10)
+	return w.coldBroken()
+}
+
 // playCold: the store answers nothing for 4.5 s. Meanwhile all endpoints of a zone, among
 // them all of archive, are down and dark for 1.5 s and start again together, cold, under the
 // ids that they had.
--- a/review/standins-3/endpoint.go
+++ b/review/standins-3/endpoint.go
@@ -64,6 +64,7 @@
 	coldUntil time.Time
 	state     string
 	sequence  int64
+	cutOff    bool // no path to the store
 	dark      bool // crashed or without power: gets and sends nothing
 	gone      bool // ended for good
 	flows     map[flowID]*endpointFlow
@@ -127,10 +128,21 @@
 		Service: e.service, Address: e.conn.LocalAddr().String(), Zone: e.zone, Version: "v1", MaxConcurrency: e.w.slots,
 		State: e.state, WarmupLeftMs: left, Sequence: e.sequence, Born: e.born.UnixMilli(),
 	}
+	cutOff := e.cutOff
 	e.mu.Unlock()
+	if cutOff {
+		return false
+	}
 	return e.w.storeNow().beat("servers/"+e.id, body)
 }
 
+// setCutOff cuts the endpoint off from the store, or ends that.
+func (e *endpoint) setCutOff(cutOff bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cutOff = cutOff
+}
+
 // crash discards all flows and sends nothing until start.
 func (e *endpoint) crash() {
 	e.mu.Lock()
