Make review case 15 need one disruption

Cause: the former case 15 needed a silent store and the restart of a whole zone. A cut of two endpoints from the store, behind which they start again, shows the same fault.

--- a/review/standins-3/cases.go
+++ b/review/standins-3/cases.go
@@ -15,7 +15,7 @@
 var cases = map[string]testCase{
 	"route": {play: playRoute},
 	"back":  {options: options{trentfeed: true}, play: playTakeBack},
-	"cold":  {options: options{archiveIn: "hue-a"}, play: playCold},
+	"cold":  {options: options{trentfeed: true, archives: 2}, play: playCold},
 	"flow":  {options: options{linked: true}, play: playFlow},
 	"start": {options: options{trentfeed: true}, play: playStart},
 	"era":   {options: options{era: 1_765_000_000}, play: playEra},
@@ -149,37 +149,38 @@
 	return w.coldBroken()
 }
 
-// playCold: the store answers nothing for 4.5 s. Meanwhile all endpoints of a zone, among
-// them all of archive, are down and dark for 1.5 s and start again together, cold, under the
-// ids that they had.
+// playCold: both endpoints of archive are cut off from the store for 5 s. They crash, are dark
+// for a second and start again under their ids, cold.
 func playCold(w *world, trouble bool) bool {
+	var list []*endpoint
+	for _, e := range w.endpoints {
+		if e.service == "archive" {
+			list = append(list, e)
+		}
+	}
 	w.sleepUntil(4)
 	if trouble {
-		w.storeNow().setMode(storeSilent)
-		w.rec.note("the store is silent")
-		w.sleepUntil(4.5)
-		w.restartZone("hue-a", 1500*time.Millisecond)
-		w.sleepUntil(8.5)
-		w.storeNow().setMode(storeUp)
-		w.rec.note("the store is up")
+		w.cutAndRestart(list)
 	}
-	w.sleepUntil(12)
+	w.sleepUntil(9)
+	for _, e := range list {
+		e.setCutOff(false)
+	}
+	w.sleepUntil(11)
 	return w.coldBroken()
 }
 
-// restartZone crashes all endpoints of a zone and starts them again.
-func (w *world) restartZone(zone string, dark time.Duration) {
-	var list []*endpoint
-	for _, e := range w.endpoints {
-		if e.zone == zone {
-			list = append(list, e)
-		}
+func (w *world) cutAndRestart(list []*endpoint) {
+	for _, e := range list {
+		e.setCutOff(true)
 	}
+	w.rec.note("%d endpoints are cut off from the store", len(list))
+	time.Sleep(400 * time.Millisecond)
 	for _, e := range list {
 		e.crash()
 	}
-	w.rec.note("%d endpoints of %s are down", len(list), zone)
-	time.Sleep(dark)
+	w.rec.note("they crash")
+	time.Sleep(time.Second)
 	for _, e := range list {
 		e.start(true)
 	}
--- a/review/standins-3/world.go
+++ b/review/standins-3/world.go
@@ -40,7 +40,7 @@
 	warmup   time.Duration
 	perCold  float64
 	slots    int
-	ateliers int // endpoints of atelier; archive has four
+	ateliers int // endpoints of atelier
 	users    int // kept flows in each zone
 	work     map[string]time.Duration
 	router   *router
@@ -67,9 +67,9 @@
 type options struct {
 	era       int
 	perCold   float64
-	linked    bool   // machines reach each other by links that can be cut
-	archiveIn string // zone of all endpoints of archive, all zones if empty
-	trentfeed bool   // pings, slots and work are those of the sheet of Trentfeed, with fewer endpoints and kept flows
+	linked    bool // machines reach each other by links that can be cut
+	archives  int  // endpoints of archive, 4 if 0
+	trentfeed bool // pings, slots and work are those of the sheet of Trentfeed, with fewer endpoints and kept flows
 }
 
 // newWorld starts the store, the endpoints and the machines, and waits until all machines
@@ -136,13 +136,14 @@
 		}
 		w.router.add(m)
 	}
-	for i := range w.ateliers + 4 {
+	archives := 4
+	if w.options.archives > 0 {
+		archives = w.options.archives
+	}
+	for i := range w.ateliers + archives {
 		service, zone := "atelier", w.zones[i%3]
 		if i >= w.ateliers {
 			service = "archive"
-			if w.options.archiveIn != "" {
-				zone = w.options.archiveIn
-			}
 		}
 		if _, err := w.startEndpoint(fmt.Sprintf("i-%010x", 0x7f3a91c200+i*7919), service, zone, w.address(1, 1+i, 8367), false); err != nil {
 			return err
