--- a/amaranthd/daemon/leave.go
+++ b/amaranthd/daemon/leave.go
@@ -10,6 +10,7 @@
 
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/vm"
 	"github.com/amaranthswitch/amaranthswitch/fleet/config"
+	"github.com/amaranthswitch/amaranthswitch/fleet/document"
 	"github.com/amaranthswitch/amaranthswitch/fleet/event"
 	"github.com/amaranthswitch/amaranthswitch/fleet/steering"
 	"github.com/amaranthswitch/amaranthswitch/fleet/wire"
@@ -62,7 +63,7 @@
 func (c *Controller) serveHandOver(_ context.Context, params json.RawMessage) (result any, err error) {
 	defer func() { err = eris.Wrap(err, "daemon: serve handover") }()
 	var req vm.HandOverRequest
-	if err = json.Unmarshal(params, &req); err != nil {
+	if err = document.Decode(params, &req); err != nil {
 		return nil, err
 	}
 	now := c.clk.Now()
--- a/amaranthd/daemon/rollout.go
+++ b/amaranthd/daemon/rollout.go
@@ -10,6 +10,7 @@
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/vm"
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
 	"github.com/amaranthswitch/amaranthswitch/fleet/config"
+	"github.com/amaranthswitch/amaranthswitch/fleet/document"
 	"github.com/amaranthswitch/amaranthswitch/fleet/event"
 	"github.com/amaranthswitch/amaranthswitch/fleet/flow"
 	"github.com/amaranthswitch/amaranthswitch/fleet/homes"
@@ -238,7 +239,7 @@
 func (c *Controller) serveConfig(_ context.Context, params json.RawMessage) (result any, err error) {
 	defer func() { err = eris.Wrap(err, "daemon: serve configuration") }()
 	var req vm.ConfigRequest
-	if err = json.Unmarshal(params, &req); err != nil {
+	if err = document.Decode(params, &req); err != nil {
 		return nil, err
 	}
 	active := c.activeConfig.Load()
--- a/amaranthd/entry/peers.go
+++ b/amaranthd/entry/peers.go
@@ -14,6 +14,7 @@
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/rpc"
 	"github.com/amaranthswitch/amaranthswitch/fleet/catalog"
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
+	"github.com/amaranthswitch/amaranthswitch/fleet/document"
 	"github.com/amaranthswitch/amaranthswitch/fleet/forward"
 	"github.com/amaranthswitch/amaranthswitch/fleet/gossip"
 	"github.com/amaranthswitch/amaranthswitch/fleet/ident"
@@ -141,7 +142,7 @@
 // receiveProbe decodes a probe and updates the estimate of the receive delay.
 func (p *peers) receiveProbe(data []byte) {
 	var sentAt clock.Millis
-	if err := cbor.Unmarshal(data, &sentAt); err != nil {
+	if err := document.DecodeCBOR(data, &sentAt); err != nil {
 		p.invalid.Add(1)
 		return
 	}
--- a/amaranthd/entry/reports.go
+++ b/amaranthd/entry/reports.go
@@ -5,6 +5,7 @@
 
 	"github.com/amaranthswitch/amaranthswitch/fleet/catalog"
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
+	"github.com/amaranthswitch/amaranthswitch/fleet/document"
 	"github.com/amaranthswitch/amaranthswitch/fleet/gossip"
 	"github.com/amaranthswitch/amaranthswitch/fleet/quality"
 )
@@ -34,7 +35,7 @@
 // socket.
 func (p *peers) receiveReport(data []byte, waited clock.Millis) {
 	var r gossip.Report
-	if err := cbor.Unmarshal(data, &r); err != nil {
+	if err := document.DecodeCBOR(data, &r); err != nil {
 		p.invalid.Add(1)
 		return
 	}
--- a/amaranthd/entry/settings.go
+++ b/amaranthd/entry/settings.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -12,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
+	"github.com/amaranthswitch/amaranthswitch/fleet/document"
 	"github.com/amaranthswitch/amaranthswitch/fleet/ident"
 	"github.com/amaranthswitch/amaranthswitch/fleet/vmload"
 )
@@ -97,9 +97,7 @@
 }
 
 func (f *settingsFile) decode(data []byte) error {
-	dec := json.NewDecoder(bytes.NewReader(data))
-	dec.DisallowUnknownFields()
-	return dec.Decode(f)
+	return document.DecodeKnown(data, f)
 }
 
 // setDurations sets the durations of Settings that the file gives.
--- a/amaranthd/entry/statetransfer.go
+++ b/amaranthd/entry/statetransfer.go
@@ -16,6 +16,7 @@
 	"github.com/amaranthswitch/amaranthswitch/amaranthd/rpc"
 	"github.com/amaranthswitch/amaranthswitch/fleet/catalog"
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
+	"github.com/amaranthswitch/amaranthswitch/fleet/document"
 	"github.com/amaranthswitch/amaranthswitch/fleet/event"
 	"github.com/amaranthswitch/amaranthswitch/fleet/forward"
 	"github.com/amaranthswitch/amaranthswitch/fleet/gossip"
@@ -181,7 +182,7 @@
 // serve handles methodSince. Many VMs may request the same changes at the same time.
 func (t *stateTransfer) serve(_ context.Context, params json.RawMessage) (any, error) {
 	var req sinceRequest
-	if err := json.Unmarshal(params, &req); err != nil {
+	if err := document.Decode(params, &req); err != nil {
 		return nil, err
 	}
 	if !req.Eras && t.replicator.localCopy().Complete.Era() > 0 {
@@ -244,5 +245,5 @@
 	if err != nil {
 		return u, err
 	}
-	return u, cbor.Unmarshal(plain, &u)
+	return u, document.DecodeCBOR(plain, &u)
 }
--- a/amaranthd/holder/holder.go
+++ b/amaranthd/holder/holder.go
@@ -14,6 +14,7 @@
 	"github.com/amaranthswitch/amaranthswitch/fleet/claim"
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
 	"github.com/amaranthswitch/amaranthswitch/fleet/config"
+	"github.com/amaranthswitch/amaranthswitch/fleet/document"
 	"github.com/amaranthswitch/amaranthswitch/fleet/homes"
 	"github.com/amaranthswitch/amaranthswitch/fleet/membership"
 )
@@ -187,7 +188,7 @@
 	if err != nil {
 		return eris.Wrap(err, "holder: encode result of a local call")
 	}
-	return eris.Wrap(json.Unmarshal(raw, result), "holder: decode result of a local call")
+	return eris.Wrap(document.Decode(raw, result), "holder: decode result of a local call")
 }
 
 // Run ticks slot managers, renews leases and expires stored data until ctx ends.
@@ -228,7 +229,7 @@
 
 // decode decodes the parameters of a call.
 func decode[T any](params json.RawMessage) (v T, err error) {
-	err = eris.Wrap(json.Unmarshal(params, &v), "holder: decode")
+	err = eris.Wrap(document.Decode(params, &v), "holder: decode")
 	return v, err
 }
 
--- a/amaranthd/rpc/rpc.go
+++ b/amaranthd/rpc/rpc.go
@@ -15,6 +15,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
+	"github.com/amaranthswitch/amaranthswitch/fleet/document"
 )
 
 // discardLog disables logging by package jsonrpc2: closed connections are part of
@@ -194,9 +195,13 @@
 	if err != nil {
 		return err
 	}
-	err = conn.Call(bounded, string(m), params, result)
+	var raw json.RawMessage
+	err = conn.Call(bounded, string(m), params, &raw)
+	if err == nil {
+		return document.Decode(raw, result)
+	}
 	var remote *jsonrpc2.Error
-	if err == nil || eris.As(err, &remote) || ctx.Err() != nil {
+	if eris.As(err, &remote) || ctx.Err() != nil {
 		return err // A canceled call does not mean that the connection failed.
 	}
 	p.discard(to, conn)
--- a/amaranthd/settings/settings.go
+++ b/amaranthd/settings/settings.go
@@ -1,8 +1,6 @@
 package settings
 
 import (
-	"bytes"
-	"encoding/json"
 	"fmt"
 	"net/netip"
 	"net/url"
@@ -12,6 +10,7 @@
 
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
 	"github.com/amaranthswitch/amaranthswitch/fleet/config"
+	"github.com/amaranthswitch/amaranthswitch/fleet/document"
 	"github.com/amaranthswitch/amaranthswitch/fleet/membership"
 	"github.com/amaranthswitch/amaranthswitch/fleet/steering"
 	"github.com/amaranthswitch/amaranthswitch/fleet/tally"
@@ -142,9 +141,7 @@
 // defaults; unknown fields are an error.
 func Parse(data []byte) (s Settings, err error) {
 	s = Default()
-	dec := json.NewDecoder(bytes.NewReader(data))
-	dec.DisallowUnknownFields()
-	if err = dec.Decode(&s); err != nil {
+	if err = document.DecodeKnown(data, &s); err != nil {
 		return s, err
 	}
 	return s, s.Check()
--- a/amaranthd/upstream/prober.go
+++ b/amaranthd/upstream/prober.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -14,6 +12,7 @@
 
 	"github.com/amaranthswitch/amaranthswitch/fleet/clock"
 	"github.com/amaranthswitch/amaranthswitch/fleet/config"
+	"github.com/amaranthswitch/amaranthswitch/fleet/document"
 	"github.com/amaranthswitch/amaranthswitch/fleet/homes"
 	"github.com/amaranthswitch/amaranthswitch/fleet/warmup"
 )
@@ -160,7 +159,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	var h health
-	if err = json.NewDecoder(io.LimitReader(resp.Body, maxHealthBodyBytes)).Decode(&h); err != nil {
+	if err = document.DecodeFrom(resp.Body, maxHealthBodyBytes, &h); err != nil {
 		return 0, err
 	}
 	if !h.Healthy {
--- a/fleet/gossip/encoding.go
+++ b/fleet/gossip/encoding.go
@@ -5,6 +5,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/amaranthswitch/amaranthswitch/fleet/document"
 	"github.com/amaranthswitch/amaranthswitch/fleet/vmload"
 )
 
@@ -33,7 +34,7 @@
 // DecodeMessage decodes a message into m. The load state is Normal if the message has no
 // tag or an unknown one.
 func DecodeMessage(data []byte, m *Message) error {
-	if err := cbor.Unmarshal(data, m); err != nil {
+	if err := document.DecodeCBOR(data, m); err != nil {
 		return err
 	}
 	m.Overload = vmload.Normal
--- a/fleet/membership/vmlist.go
+++ b/fleet/membership/vmlist.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"net/netip"
+
+	"github.com/amaranthswitch/amaranthswitch/fleet/document"
 )
 
 // maxNameBytes is the maximum length of the identifier of a VM and of the name of its
@@ -16,7 +18,7 @@
 // reject. It returns an error if data is not an array or has only malformed entries.
 func ParseVMs(data []byte, reject func(err error)) (vms []VM, err error) {
 	var entries []json.RawMessage
-	if err = json.Unmarshal(data, &entries); err != nil {
+	if err = document.Decode(data, &entries); err != nil {
 		return nil, fmt.Errorf("membership: list of VMs: %w", err)
 	}
 	for i, entry := range entries {
@@ -36,7 +38,7 @@
 // parseVM decodes an entry of the list of VMs and checks the fields without which the
 // VM cannot be reached.
 func parseVM(data []byte) (vm VM, err error) {
-	if err = json.Unmarshal(data, &vm); err != nil {
+	if err = document.Decode(data, &vm); err != nil {
 		return vm, err
 	}
 	for _, f := range []struct{ name, value string }{{"id", string(vm.ID)}, {"domain", string(vm.Domain)}} {
--- a/fleet/wire/wire.go
+++ b/fleet/wire/wire.go
@@ -8,6 +8,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/amaranthswitch/amaranthswitch/fleet/config"
+	"github.com/amaranthswitch/amaranthswitch/fleet/document"
 	"github.com/amaranthswitch/amaranthswitch/fleet/flow"
 	"github.com/amaranthswitch/amaranthswitch/fleet/steering"
 )
@@ -123,5 +124,5 @@
 	if len(data) == 0 {
 		return errors.New("empty datagram")
 	}
-	return cbor.Unmarshal(data[1:], v)
+	return document.DecodeCBOR(data[1:], v)
 }
