--- a/fleet/catalog/builder.go
+++ b/fleet/catalog/builder.go
@@ -21,6 +21,9 @@
 	returnColdMillis clock.Millis
 
 	upstreams  map[replica.Key]*Entry
+	// duplicates are the upstreams that the last catalog lacks, since their EncapID
+	// belongs to another one.
+	duplicates map[replica.Key]bool
 	domainsOut map[replica.Key]ident.DomainName
 	restored   map[ident.DomainName]*restoration
 	config     *Config
@@ -205,8 +208,8 @@
 }
 
 func (b *Builder) addUpstreams(c *Catalog) {
-	entries := make([]*Entry, 0, len(b.upstreams))
-	for _, e := range b.upstreams {
+	published := make([]keyedEntry, 0, len(b.upstreams))
+	for key, e := range b.upstreams {
 		added := *e
 		added.DomainOut = slices.Contains(c.domainsOut, e.Domain)
 		slowStart := clock.Millis(0)
@@ -214,11 +217,12 @@
 			slowStart = s.SlowStartMillis
 		}
 		added.ColdUntil = max(added.ColdUntil, b.restoredColdUntil(e.Domain, slowStart))
-		entries = append(entries, &added)
+		published = append(published, keyedEntry{Entry: &added, key: key})
 	}
 	c.assignTokens(entries)
 	slices.SortFunc(entries, func(x, y *Entry) int { return strings.Compare(string(x.ID), string(y.ID)) })
 	for _, e := range entries {
+	entries := b.dropDuplicates(published)
 		c.serving[e.Service] = append(c.serving[e.Service], e)
 	}
 }
--- a/fleet/catalog/catalog_test.go
+++ b/fleet/catalog/catalog_test.go
@@ -39,6 +39,7 @@
 			_, _ = fmt.Sscanf(w, "cold=%d", &u.RemainingColdMillis)
 			_, _ = fmt.Sscanf(w, "born=%d", &u.StartedAt)
 			_, _ = fmt.Sscanf(w, "seq=%d", &u.Sequence)
+			_, _ = fmt.Sscanf(w, "encap=%d", &u.EncapID)
 		}
 		c.Upstream = u
 	}
--- a/fleet/catalog/types.go
+++ b/fleet/catalog/types.go
@@ -12,7 +12,7 @@
 type UpstreamID string
 
 // EncapID is the number in the encapsulation header of a forwarded packet by
-// which an upstream recognises the packets meant for it.
+// which an upstream recognises the packets meant for it. 0 means that it has none.
 type EncapID uint64
 
 // Upstream is a published upstream.
