--- a/amaranthd/entry/adapter.go
+++ b/amaranthd/entry/adapter.go
@@ -42,6 +42,10 @@
 	// for at most wait. It returns ErrCompacted if the source no longer has those
 	// changes; the caller then calls Read.
 	Watch func(ctx context.Context, after replica.Revision, wait clock.Millis) (replica.Update, error)
+	// DomainChanges returns, at once, the changes after the given revision of the items that
+	// take failure domains out of service, in the order of their revisions. It returns
+	// ErrCompacted like Watch.
+	DomainChanges func(ctx context.Context, after replica.Revision) (replica.Update, error)
 	// Reconnect closes pooled connections, so that the next call dials anew. It is
 	// called after each failure, since a connection may hang while new ones work.
 	Reconnect func()
--- a/amaranthd/entry/daemon.go
+++ b/amaranthd/entry/daemon.go
@@ -197,6 +197,7 @@
 	d.stopTime.Store(int64(p.Settings.StopMillis))
 	p.Replicator.onUpdate = p.Peers.sendUpdate
 	p.DataPath.awaitHistory = p.Peers.history.wait
+	p.Replicator.awaitHistory = p.Peers.history.await
 	p.Pauses.onPause = d.onPause
 	p.Server.Handle(methodStatus, d.serveStatus)
 	cleanup, err := d.serveReady(ctx, p.Settings.Ready, p.Adapter.ReadyPath)
--- a/amaranthd/entry/history.go
+++ b/amaranthd/entry/history.go
@@ -109,6 +109,14 @@
 	}
 }
 
+// await waits like wait and reports whether the history is known.
+func (h *removalHistory) await(ctx context.Context) bool {
+	h.wait(ctx)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.state == historyKnown
+}
+
 // remaining returns how long packets are held at most from now on. It ends all waits
 // once that time is over.
 func (h *removalHistory) remaining() clock.Millis {
--- a/amaranthd/entry/peers.go
+++ b/amaranthd/entry/peers.go
@@ -260,10 +260,10 @@
 }
 
 // sendUpdate announces an update to other VMs, and includes it in the messages if
-// it is small and begins no era. Those that an era begins with are fetched, together with
-// what this VM keeps in force.
+// it is small and neither begins an era nor may be the first copy of a VM. Those are fetched,
+// together with what this VM keeps in force and assumes.
 func (p *peers) sendUpdate(u *replica.Update) {
-	if approxBytes(u) > maxInlineUpdateBytes || u.After.Era() != u.Complete.Era() {
+	if approxBytes(u) > maxInlineUpdateBytes || u.After.Era() != u.Complete.Era() || u.After == 0 {
 		u = nil
 	}
 	local := p.replicator.localCopy()
--- a/amaranthd/entry/replicator.go
+++ b/amaranthd/entry/replicator.go
@@ -26,6 +26,9 @@
 	// responseTimeout is the time for the response of the source, in addition to
 	// the wait of a watch. A full read is given as long as a watch of watchWait.
 	responseTimeout clock.Millis = 400
+	// readTimeout is the time for a full read, and for the search of tombstones that the
+	// read does not hold.
+	readTimeout = watchWait + responseTimeout
 	// coalesceDelay is the pause of the reader after a change, so that changes in
 	// quick succession arrive in one response.
 	coalesceDelay clock.Millis = 50
@@ -72,6 +75,9 @@
 	// onActive is called after each build with the time for which the oldest change in
 	// it was pending.
 	onActive func(pending clock.Millis)
+	// awaitHistory blocks for a limited time after the start, and reports whether an older
+	// VM has sent its tombstones.
+	awaitHistory func(ctx context.Context) bool
 
 	mu      sync.Mutex
 	replica *replica.Replica
@@ -107,7 +113,7 @@
 	r := &replicator{
 		source: a.Source, clk: clk, pauses: pauses, log: log, setCatalog: setCatalog,
 		replica: replica.New(), started: clk.Now(),
-		onUpdate: func(*replica.Update) {}, onActive: func(clock.Millis) {},
+		onUpdate: func(*replica.Update) {}, onActive: func(clock.Millis) {}, awaitHistory: func(context.Context) bool { return false },
 	}
 	r.rank.Store(1) // not the reader until the group has elected one
 	r.builder = catalog.NewBuilder(a.Decode, r.logInvalidItem, 2*heartbeat)
@@ -376,7 +382,7 @@
 	}
 	switch reading.Next() {
 	case replica.ReadAll:
-		return r.read(ctx, !reading.Requested && !reading.Empty && !reading.Failed)
+		return r.read(ctx, reading.Requested)
 	case replica.Watch:
 		return r.watch(ctx, watchWait)
 	case replica.Poll:
@@ -389,10 +395,10 @@
 
 var errInterrupted = errors.New("entry: watch interrupted by a requested read")
 
-// read reads all items and applies them. periodic is set for a read that only verifies
-// a copy that watches keep up to date.
-func (r *replicator) read(ctx context.Context, periodic bool) error {
-	bounded, cancel := context.WithTimeout(ctx, (watchWait + responseTimeout).Duration())
+// read reads all items and applies them, with the tombstones that the copy lacks. requested
+// is set if packets wait for it.
+func (r *replicator) read(ctx context.Context, requested bool) error {
+	bounded, cancel := context.WithTimeout(ctx, readTimeout.Duration())
 	defer cancel()
 	r.calls.Add(1)
 	requestedAt, count := r.clk.Now(), r.pauses.poll()
@@ -400,12 +406,17 @@
 	if err != nil {
 		return err
 	}
-	if periodic {
-		r.catchUp(bounded, u.Complete)
+	catchUpTimeout := responseTimeout
+	if requested {
+		catchUpTimeout = verifyTimeout / 2
 	}
+	known := r.addRemovals(ctx, &u, catchUpTimeout)
 	if err = r.checkEra(&u); err != nil {
 		return err
 	}
+	if !known {
+		r.assumeReturns()
+	}
 	r.nextReadAt = r.clk.Now() + fullReadInterval
 	r.apply(u, fromRead)
 	r.recordSuccess(ctx, requestedAt, count)
@@ -414,14 +425,14 @@
 
 // catchUp requests the changes up to a revision that a read has shown, before the
 // read is applied. Without them the copy would lack the tombstones since its own
-// revision, and other VMs would need full updates. An error is ignored, since the
-// read holds all items that exist.
-func (r *replicator) catchUp(ctx context.Context, target replica.Revision) {
+// revision, and other VMs would need full updates. After an error the read is applied all
+// the same, since it holds all items that exist.
+func (r *replicator) catchUp(ctx context.Context, target replica.Revision, timeout clock.Millis) error {
 	after := r.localCopy().Complete
 	if after >= target || after.Era() != target.Era() {
-		return
+		return nil
 	}
-	bounded, cancel := context.WithTimeout(ctx, responseTimeout.Duration())
+	bounded, cancel := context.WithTimeout(ctx, timeout.Duration())
 	defer cancel()
 	r.calls.Add(1)
 	u, err := r.source.Watch(bounded, after, checkWait)
@@ -430,9 +441,10 @@
 	}
 	if err != nil {
 		r.failures.Add(1)
-		return
+		return err
 	}
 	r.apply(u, fromWatch)
+	return nil
 }
 
 // watch requests changes and waits for them for at most the given time.
--- a/amaranthd/entry/statetransfer.go
+++ b/amaranthd/entry/statetransfer.go
@@ -63,6 +63,9 @@
 	// milliseconds for which it does so, without those that have no limit.
 	Kept     []byte                       `json:"kept,omitempty"`
 	KeptLeft map[replica.Key]clock.Millis `json:"keptLeft,omitempty"`
+	// ReturnsAssumed is set if the sender does not know which failure domains returned to
+	// service before it started, so that neither does a VM whose first copy this is.
+	ReturnsAssumed bool `json:"returnsAssumed,omitempty"`
 	// Recovering holds the upstreams that have not recovered from a silence yet.
 	Recovering map[catalog.Token]recoveryState `json:"recovering,omitempty"`
 }
@@ -129,6 +132,9 @@
 func (t *stateTransfer) process(ctx context.Context, p pullRequest) {
 	if !p.catchUp {
 		reply, ok := t.fetch(ctx, p.from, 0)
+		if ok && !reply.ReturnsAssumed {
+			t.replicator.knowReturns()
+		}
 		t.replicator.buildNow()
 		t.setRecoveries(reply.recovering())
 		p.done(ok)
@@ -160,6 +166,9 @@
 		event.Log(ctx, t.log, event.MessageInvalid, slog.String("peer", string(from.ID)), event.Error(err))
 		return sinceReply{}, false
 	}
+	if reply.ReturnsAssumed && t.replicator.localCopy().Complete == 0 {
+		t.replicator.assumeReturns()
+	}
 	t.replicator.applyWithKept(u, kept, string(from.ID))
 	return reply, true
 }
@@ -192,7 +201,10 @@
 	if err != nil {
 		return nil, err
 	}
-	reply := sinceReply{Update: data, RemovalAges: t.replicator.recentRemovals(maxRemovalAge)}
+	reply := sinceReply{
+		Update: data, RemovalAges: t.replicator.recentRemovals(maxRemovalAge),
+		ReturnsAssumed: t.replicator.returnsAssumed(),
+	}
 	reply.setRecovering(t.recoveries())
 	err = reply.setKept(t.replicator.keptItems())
 	return reply, err
--- a/fleet/catalog/builder.go
+++ b/fleet/catalog/builder.go
@@ -20,13 +20,15 @@
 	// service count as cold while the copy is kept up to date: two heartbeats.
 	returnColdMillis clock.Millis
 
-	upstreams  map[replica.Key]*Entry
+	upstreams map[replica.Key]*Entry
 	// duplicates are the upstreams that the last catalog lacks, since their EncapID
 	// belongs to another one.
 	duplicates map[replica.Key]bool
 	domainsOut map[replica.Key]ident.DomainName
 	restored   map[ident.DomainName]*restoration
-	config     *Config
+	// assumed applies to all failure domains, nil if this VM knows which ones returned.
+	assumed *restoration
+	config  *Config
 
 	// staleTime is how long an entry that may be stale stays without effect.
 	staleTime clock.Millis
@@ -133,18 +135,19 @@
 		return
 	}
 	e := b.upstreams[item.Key]
-	if e == nil && len(item.Value) > 0 {
+	if e == nil {
 		b.addRemoved(now, item)
 		return
 	}
-	if e != nil && !e.Removed {
+	if !e.Removed {
 		e.Removed, e.RemovedAt = true, now-item.Age
 	}
 }
 
 // addRemoved applies the tombstone of an item that this VM never had. Open flows may
 // still use a removed upstream, and a failure domain may have returned to service a
-// moment ago.
+// moment ago, which its key alone tells. It ignores a tombstone that cannot be decoded, since
+// the last value is not known.
 func (b *Builder) addRemoved(now clock.Millis, item replica.Item) {
 	change, err := b.decode(item)
 	switch {
@@ -219,10 +222,10 @@
 		added.ColdUntil = max(added.ColdUntil, b.restoredColdUntil(e.Domain, slowStart))
 		published = append(published, keyedEntry{Entry: &added, key: key})
 	}
+	entries := b.dropDuplicates(published)
 	c.assignTokens(entries)
 	slices.SortFunc(entries, func(x, y *Entry) int { return strings.Compare(string(x.ID), string(y.ID)) })
 	for _, e := range entries {
-	entries := b.dropDuplicates(published)
 		c.serving[e.Service] = append(c.serving[e.Service], e)
 	}
 }
--- a/fleet/catalog/restoration.go
+++ b/fleet/catalog/restoration.go
@@ -20,38 +20,79 @@
 // unconfirmed is later than all times.
 const unconfirmed clock.Millis = math.MaxInt64
 
+// newRestoration returns a return to service at the given time. An upstream that became
+// cold before has published so after returnCold.
+func newRestoration(at, returnCold clock.Millis) *restoration {
+	return &restoration{at: at, until: at + returnCold}
+}
+
+// coldUntil returns the time until which an upstream without an entry of its own counts as
+// cold. One that became cold while its domain was out of service is warm after the slow start
+// time. coldUntil returns 0 if r is nil.
+func (r *restoration) coldUntil(returnCold, slowStart clock.Millis) clock.Millis {
+	if r == nil {
+		return 0
+	}
+	return max(r.at+returnCold, min(r.until, r.at+slowStart))
+}
+
+// confirm notes that the copy of the published items was last known to be complete at
+// confirmedAt. It reports whether this changed until when upstreams count as cold.
+func (r *restoration) confirm(now, confirmedAt, returnCold clock.Millis) (changed bool) {
+	if r == nil {
+		return false
+	}
+	until := r.until
+	switch {
+	case confirmedAt >= r.until:
+	case now-confirmedAt > returnCold/2:
+		r.until = unconfirmed // A heartbeat may have been missed.
+	case r.until == unconfirmed:
+		r.until = now + returnCold
+	}
+	return r.until != until
+}
+
 // restore records that a failure domain returned to service at the given time.
 func (b *Builder) restore(domain ident.DomainName, at clock.Millis) {
 	if r := b.restored[domain]; r == nil || at > r.at {
-		b.restored[domain] = &restoration{at: at, until: at + b.returnColdMillis}
+		b.restored[domain] = newRestoration(at, b.returnColdMillis)
 	}
 }
 
 // restoredColdUntil returns the time until which an upstream counts as cold since its
-// failure domain returned to service, 0 if it never did. An upstream that became cold
-// while the domain was out of service is warm after the slow start time.
+// failure domain returned to service, 0 if it never did.
 func (b *Builder) restoredColdUntil(domain ident.DomainName, slowStart clock.Millis) clock.Millis {
-	r := b.restored[domain]
-	if r == nil {
-		return 0
-	}
-	return max(r.at+b.returnColdMillis, min(r.until, r.at+slowStart))
+	return max(b.restored[domain].coldUntil(b.returnColdMillis, slowStart), b.assumed.coldUntil(b.returnColdMillis, slowStart))
+}
+
+// AssumeReturns records that this VM has its first copy but does not know which failure
+// domains returned to service before. All of them may have, just now.
+func (b *Builder) AssumeReturns(now clock.Millis) {
+	b.assumed = newRestoration(now, b.returnColdMillis)
+}
+
+// KnowReturns ends what AssumeReturns began, since the tombstones of all failure domains that
+// returned have been applied. It reports whether the catalog must be built again.
+func (b *Builder) KnowReturns() (changed bool) {
+	changed = b.assumed != nil
+	b.assumed = nil
+	return changed
+}
+
+// ReturnsAssumed reports whether a VM that gets its first copy from this one has to call
+// AssumeReturns, too.
+func (b *Builder) ReturnsAssumed(now clock.Millis) bool {
+	return b.assumed != nil && now < b.assumed.until
 }
 
 // ConfirmRestored notes that the copy of the published items was last known to be
 // complete at confirmedAt. It reports whether this changed until when upstreams count
 // as cold, so that the catalog must be built again.
 func (b *Builder) ConfirmRestored(now, confirmedAt clock.Millis) (changed bool) {
+	changed = b.assumed.confirm(now, confirmedAt, b.returnColdMillis)
 	for _, r := range b.restored {
-		until := r.until
-		switch {
-		case confirmedAt >= r.until:
-		case now-confirmedAt > b.returnColdMillis/2:
-			r.until = unconfirmed // A heartbeat may have been missed.
-		case r.until == unconfirmed:
-			r.until = now + b.returnColdMillis
-		}
-		changed = changed || r.until != until
+		changed = r.confirm(now, confirmedAt, b.returnColdMillis) || changed
 	}
 	return changed
 }
--- a/fleet/event/event.go
+++ b/fleet/event/event.go
@@ -79,6 +79,10 @@
 	StoreEraInvalid ID = 6015
 	// VMOverloaded is logged when the reaction of a VM to its own load changes.
 	VMOverloaded ID = 6016
+	// RemovalsRead is logged when a VM has read tombstones from the source, and
+	// RemovalsUnknown when a VM without a copy could not.
+	RemovalsRead    ID = 6017
+	RemovalsUnknown ID = 6018
 )
 
 // Events of requests.
@@ -114,6 +118,8 @@
 	StoreEraChanged:    "storeEraChanged",
 	StoreEraInvalid:    "storeEraInvalid",
 	VMOverloaded:       "vmOverloaded",
+	RemovalsRead:       "removalsRead",
+	RemovalsUnknown:    "removalsUnknown",
 	LinesOmitted:       "linesOmitted",
 	ConfigAccepted:     "configAccepted",
 	ConfigInvalid:      "configInvalid",
@@ -150,6 +156,7 @@
 	StoreEraChanged:    slog.LevelWarn,
 	StoreEraInvalid:    slog.LevelWarn,
 	VMOverloaded:       slog.LevelWarn,
+	RemovalsUnknown:    slog.LevelWarn,
 	ItemInvalid:        slog.LevelError,
 	FlowRefused:        slog.LevelWarn,
 	FlowLost:           slog.LevelWarn,
--- a/fleet/replica/replica.go
+++ b/fleet/replica/replica.go
@@ -112,8 +112,7 @@
 
 // merge stores item if it is newer than the stored item of its key, and reports
 // whether that is a change. An item that differs only in its revision is stored but is
-// no change. The removal of an unknown item is a change only if it carries the last
-// value.
+// no change.
 func (r *Replica) merge(now clock.Millis, item Item) (merged Item, changed bool) {
 	old, known := r.entries[item.Key]
 	if known && old.item.Revision >= item.Revision {
@@ -127,7 +126,7 @@
 		return item, false
 	}
 	r.entries[item.Key] = entry{item: item, learnedAt: now - item.Age}
-	return item, known || !item.Removed || len(item.Value) > 0
+	return item, true
 }
 
 // removeMissing replaces the items that a full update does not hold by
