--- a/fleet/catalog/restoration.go
+++ b/fleet/catalog/restoration.go
@@ -15,6 +15,9 @@
 	// until is the time at which the upstreams without an entry of their own count as
 	// warm, unconfirmed while the copy is out of date.
 	until clock.Millis
+	// confirmedAt is when the copy was last known to be complete, at first the time of the
+	// return.
+	confirmedAt clock.Millis
 }
 
 // unconfirmed is later than all times.
@@ -23,7 +26,7 @@
 // newRestoration returns a return to service at the given time. An upstream that became
 // cold before has published so after returnCold.
 func newRestoration(at, returnCold clock.Millis) *restoration {
-	return &restoration{at: at, until: at + returnCold}
+	return &restoration{at: at, until: at + returnCold, confirmedAt: at}
 }
 
 // coldUntil returns the time until which an upstream without an entry of its own counts as
@@ -37,19 +40,22 @@
 }
 
 // confirm notes that the copy of the published items was last known to be complete at
-// confirmedAt. It reports whether this changed until when upstreams count as cold.
+// confirmedAt. It reports whether this changed until when upstreams count as cold. After half
+// of returnCold without a confirmation a heartbeat may have been missed, also if this VM was
+// paused meanwhile and confirm was not called.
 func (r *restoration) confirm(now, confirmedAt, returnCold clock.Millis) (changed bool) {
-	if r == nil {
+	if r == nil || r.confirmedAt >= r.until {
 		return false
 	}
 	until := r.until
+	gap := confirmedAt-r.confirmedAt > returnCold/2
 	switch {
-	case confirmedAt >= r.until:
 	case now-confirmedAt > returnCold/2:
-		r.until = unconfirmed // A heartbeat may have been missed.
-	case r.until == unconfirmed:
+		r.until = unconfirmed
+	case r.until == unconfirmed, gap:
 		r.until = now + returnCold
 	}
+	r.confirmedAt = max(r.confirmedAt, confirmedAt)
 	return r.until != until
 }
 
--- a/fleet/catalog/restoration_test.go
+++ b/fleet/catalog/restoration_test.go
@@ -73,3 +73,22 @@
 		})
 	}
 }
+
+// TestGapBehindAPause guards against cold upstreams that count as warm on a VM that was paused
+// while the publisher did not answer: when it runs again its copy is confirmed at once.
+func TestGapBehindAPause(t *testing.T) {
+	const returnCold, slowStart = 2000, 10_000
+	for _, test := range []struct{ pause, coldUntil clock.Millis }{{900, 3000}, {1100, 2600 + returnCold}, {2500, 4000 + returnCold}} {
+		b := NewBuilder(decodeWords, func(replica.Item, error) {}, returnCold)
+		b.Apply(1000, []replica.Item{item(1, "config", "1"), item(2, "u", "web a"), removedItem(3, "out/a", "")}, false)
+		b.config.Services = []Service{{Name: "web", SlowStartMillis: slowStart}}
+		b.ConfirmRestored(1500, 1500)
+		woken := 1500 + test.pause
+		b.ConfirmRestored(woken, woken)
+		assert.Equal(t, b.Build(3).Serving("web")[0].ColdUntil, test.coldUntil, "pause of %d ms", test.pause)
+		for now := woken; now < woken+5000; now += 50 {
+			b.ConfirmRestored(now, now)
+		}
+		assert.Equal(t, b.Build(3).Serving("web")[0].ColdUntil, test.coldUntil, "later")
+	}
+}
