--- a/amaranthd/entry/returns_test.go
+++ b/amaranthd/entry/returns_test.go
@@ -84,7 +84,9 @@
 func (p *returnsPlay) now() clock.Millis { return p.clk.Clock().Now() }
 
 // upTo returns a random time of at most d.
-func (p *returnsPlay) upTo(d clock.Millis) clock.Millis { return clock.Millis(p.rng.Int64N(int64(d) + 1)) }
+func (p *returnsPlay) upTo(d clock.Millis) clock.Millis {
+	return clock.Millis(p.rng.Int64N(int64(d) + 1))
+}
 
 func (p *returnsPlay) away() bool { return p.now() >= p.awayFrom && p.now() < p.awayTo }
 
