--- a/amaranthd/entry/removals.go
+++ b/amaranthd/entry/removals.go
@@ -84,12 +84,14 @@
 }
 
 // findRemovals returns the tombstones of failure domains up to the revision of a full read,
-// as far back as the source still has them and an item of the read was written before.
+// as far back as the source still has them and an item of the read was written before. It makes
+// no call if the read shows all changes.
 func (r *replicator) findRemovals(ctx context.Context, u *replica.Update) (tombstones []replica.Item, err error) {
 	bounded, cancel := context.WithTimeout(ctx, readTimeout.Duration())
 	defer cancel()
 	calls := 0
-	_, err = replica.FindHorizon(oldestNumber(u), u.Complete.Number(), func(after uint64) (bool, error) {
+	oldest, newest := replica.MissingNumbers(u)
+	_, err = replica.FindHorizon(oldest, newest, func(after uint64) (bool, error) {
 		calls++
 		changes, err := r.domainChanges(bounded, replica.RevisionOf(u.Complete.Era(), after))
 		if errors.Is(err, ErrCompacted) {
@@ -113,16 +115,6 @@
 	return r.source.DomainChanges(bounded, after)
 }
 
-// oldestNumber returns a number of the publisher before which no item of a full read was
-// written.
-func oldestNumber(u *replica.Update) uint64 {
-	oldest := u.Complete.Number()
-	for i := range u.Items {
-		oldest = min(oldest, u.Items[i].Revision.Number()-1)
-	}
-	return oldest
-}
-
 // removedUpTo returns the tombstones of the items that do not exist at a revision. The
 // changes are in the order of their revisions.
 func removedUpTo(changes []replica.Item, complete replica.Revision) (tombstones []replica.Item) {
