--- a/amaranthd/entry/peers.go
+++ b/amaranthd/entry/peers.go
@@ -95,6 +95,9 @@
 	p.transfer = newStateTransfer(r, pool, p.peerAhead, log)
 	p.transfer.recoveries = func() map[catalog.Token]forward.Recovery { return engine.Recoveries(clk.Now()) }
 	p.transfer.setRecoveries = func(list map[catalog.Token]forward.Recovery) { engine.SetRecoveries(clk.Now(), list) }
+	r.askSeeds = func(ctx context.Context, complete replica.Revision) ([]replica.Item, bool) {
+		return p.transfer.askRemovals(ctx, otherSeeds(settings), complete)
+	}
 	_, alone := p.group.JoinedAt()
 	p.history = newRemovalHistory(clk, alone)
 	server.Handle(methodSince, p.transfer.serve)
--- a/amaranthd/entry/removals.go
+++ b/amaranthd/entry/removals.go
@@ -70,8 +70,14 @@
 	return result.tombstones, result.err == nil
 }
 
-// searchRemovals calls findRemovals up to removalAttempts times.
+// searchRemovals calls findRemovals up to removalAttempts times. In a large fleet it first asks
+// the seeds.
 func (r *replicator) searchRemovals(ctx context.Context, u *replica.Update) (result removals) {
+	if len(u.Items) > smallFleetItems {
+		if tombstones, known := r.askSeeds(ctx, u.Complete); known {
+			return removals{tombstones: tombstones}
+		}
+	}
 	for range removalAttempts {
 		result.tombstones, result.err = r.findRemovals(ctx, u)
 		if result.err == nil || ctx.Err() != nil {
--- a/amaranthd/entry/removals_test.go
+++ b/amaranthd/entry/removals_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"net/netip"
 	"strings"
@@ -220,12 +221,7 @@
 	assert.NilError(t, young.read(t.Context(), true))
 	assert.NilError(t, older.read(t.Context(), true))
 
-	server, address := rpc.NewServer(), netip.MustParseAddrPort("127.99.99.1:18199")
-	stop, err := server.Serve(t.Context(), address)
-	assert.NilError(t, err)
-	defer stop()
-	pool, closePool := rpc.NewPool(netip.Addr{}, callTimeout)
-	defer closePool()
+	server, address, pool := startPeer(t)
 	transfer := newStateTransfer(starting.replicator, pool, nil, starting.replicator.log)
 	pullFrom := func(vm *removalVM) {
 		server.Handle(methodSince, newStateTransfer(vm.replicator, nil, nil, vm.replicator.log).serve)
@@ -236,3 +232,67 @@
 	pullFrom(older)
 	assert.Equal(t, starting.cold(), "", "the older VM knows of no return")
 }
+
+// startPeer serves calls at an address, for which it returns a pool.
+func startPeer(t *testing.T) (server *rpc.Server, address netip.AddrPort, pool *rpc.Pool) {
+	t.Helper()
+	server, address = rpc.NewServer(), netip.MustParseAddrPort("127.99.99.1:18199")
+	stop, err := server.Serve(t.Context(), address)
+	assert.NilError(t, err)
+	t.Cleanup(stop)
+	pool, closePool := rpc.NewPool(netip.Addr{}, callTimeout)
+	t.Cleanup(closePool)
+	return server, address, pool
+}
+
+// TestLargeFleetAsksSeeds guards against a large fleet whose VMs all search the history of the
+// source when they start together, and against answers of seeds that know less than they.
+func TestLargeFleetAsksSeeds(t *testing.T) {
+	tests := []struct {
+		name  string
+		seed  func(s *historySource, vm *removalVM) // what the seed does before the VM starts
+		calls int64                                 // of the VM to the source: 1 read, and 4 if it searches itself
+	}{
+		{"knows", func(_ *historySource, vm *removalVM) { assert.NilError(t, vm.read(t.Context(), true)) }, 1},
+		{"has no copy", func(*historySource, *removalVM) {}, 5},
+		{"has an older copy", func(s *historySource, vm *removalVM) {
+			assert.NilError(t, vm.read(t.Context(), true))
+			s.put("config", false)
+		}, 5},
+		{"knows only later", func(_ *historySource, vm *removalVM) {
+			time.AfterFunc(askTimeout.Duration()/3, func() { _ = vm.read(context.Background(), true) })
+		}, 1},
+		{"knows no returns", func(s *historySource, vm *removalVM) {
+			s.failures = removalAttempts
+			assert.NilError(t, vm.read(t.Context(), true))
+		}, 5},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := newHistorySource()
+			for i := range smallFleetItems {
+				s.put(replica.Key(fmt.Sprint("up/", i)), false)
+			}
+			s.takeOut()
+			seed, vm := newRemovalVM(s), newRemovalVM(s)
+			server, address, pool := startPeer(t)
+			server.Handle(methodSince, newStateTransfer(seed.replicator, nil, nil, seed.replicator.log).serve)
+			transfer := newStateTransfer(vm.replicator, pool, nil, vm.replicator.log)
+			vm.askSeeds = func(ctx context.Context, complete replica.Revision) ([]replica.Item, bool) {
+				return transfer.askRemovals(ctx, []netip.AddrPort{address}, complete)
+			}
+			test.seed(s, seed)
+			assert.NilError(t, vm.read(t.Context(), true))
+			cold := vm.cold()
+			assert.Assert(t, strings.Contains(cold, "a") && !strings.Contains(cold, "b"), "%s", cold)
+			assert.Equal(t, vm.calls.Load(), test.calls)
+		})
+	}
+}
+
+// TestOtherSeeds checks that a seed asks none.
+func TestOtherSeeds(t *testing.T) {
+	a, b := netip.MustParseAddrPort("10.0.0.1:1"), netip.MustParseAddrPort("10.0.0.2:1")
+	assert.Equal(t, len(otherSeeds(&Settings{Peers: a, Seeds: []netip.AddrPort{a, b}})), 0)
+	assert.Equal(t, len(otherSeeds(&Settings{Peers: a, Seeds: []netip.AddrPort{b}})), 1)
+}
--- a/amaranthd/entry/replicator.go
+++ b/amaranthd/entry/replicator.go
@@ -44,6 +44,9 @@
 	// awaitHistory blocks for a limited time after the start, and reports whether an older
 	// VM has sent its tombstones.
 	awaitHistory func(ctx context.Context) bool
+	// askSeeds asks the seeds for the tombstones that they know. known is false if this VM
+	// is a seed, or none of them tells in time.
+	askSeeds func(ctx context.Context, complete replica.Revision) (tombstones []replica.Item, known bool)
 
 	mu      sync.Mutex
 	replica *replica.Replica
@@ -80,6 +83,7 @@
 		source: a.Source, clk: clk, pauses: pauses, log: log, setCatalog: setCatalog,
 		replica: replica.New(), started: clk.Now(),
 		onUpdate: func(*replica.Update) {}, onActive: func(clock.Millis) {}, awaitHistory: func(context.Context) bool { return false },
+		askSeeds: func(context.Context, replica.Revision) ([]replica.Item, bool) { return nil, false },
 	}
 	r.rank.Store(1) // not the reader until the group has elected one
 	r.builder = catalog.NewBuilder(a.Decode, r.logInvalidItem, 2*heartbeat)
