--- a/amaranthd/entry/replicator_test.go
+++ b/amaranthd/entry/replicator_test.go
@@ -238,6 +238,26 @@
 	assert.Assert(t, time.Since(start) < 300*time.Millisecond)
 }
 
+// TestRequestsDuringTheFirstRead guards against a second read of a VM that starts, since more
+// packets arrive while the first one is under way.
+func TestRequestsDuringTheFirstRead(t *testing.T) {
+	var r *replicator
+	f := &fakeSource{read: func() (replica.Update, error) {
+		r.requestRead()
+		return fullUpdate(3)
+	}}
+	r = newTestReplicator(f, func(*catalog.Catalog) {})
+	r.requestRead()
+	assert.NilError(t, r.step(t.Context()))
+	assert.Assert(t, !r.hasReadRequest())
+	reads, _ := f.counts()
+	assert.Equal(t, reads, 1)
+
+	r.requestRead() // as after a pause
+	assert.NilError(t, r.step(t.Context()))
+	assert.Assert(t, r.hasReadRequest(), "a request during a later read is kept")
+}
+
 // TestBuildRateIsLimited applies changes faster than catalogs may be built. The
 // last change must come into force, with few builds in between.
 func TestBuildRateIsLimited(t *testing.T) {
--- a/amaranthd/entry/sourcecalls.go
+++ b/amaranthd/entry/sourcecalls.go
@@ -98,6 +98,7 @@
 	defer cancel()
 	r.calls.Add(1)
 	requestedAt, count := r.clk.Now(), r.pauses.poll()
+	first := r.localCopy().Complete == 0
 	u, err := r.source.Read(bounded, r.localCopy().Complete.Era())
 	if err != nil {
 		return err
@@ -116,6 +117,9 @@
 	r.nextReadAt = r.clk.Now() + fullReadInterval
 	r.apply(u, fromRead)
 	r.recordSuccess(ctx, requestedAt, count)
+	if first && r.pauses.poll() == count {
+		r.takeReadRequest() // for packets that waited for this copy
+	}
 	return nil
 }
 
